Real-process fleet with plans; a connection that stands is never called refused

Cause: the flag 'the connection stands' was never set, so a worker's death after it had the job counted as refused and the job ran again elsewhere.

--- /dev/null
+++ b/cmd/fleet/main.go
@@ -0,0 +1,72 @@
+// Command fleet is a test program: it runs a whole mesh as real processes on
+// loopback addresses, with stand-in workers and callers, brings faults about,
+// and ends with a report; its exit code is 1 when something was seen that
+// must never happen.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"puffincrank/internal/fleetrun"
+	"puffincrank/internal/sim"
+)
+
+type args struct {
+	Shape string  `arg:"--shape" default:"fumettoteca" help:"fumettoteca or ingenzi"`
+	Plan  string  `arg:"--plan" default:"calm" help:"calm, kills or day"`
+	For   string  `arg:"--for" default:"60s" help:"how long the load runs, 10m at the most"`
+	Scale float64 `arg:"--scale" default:"1" help:"part of the deployment's rates, 1 at the most"`
+	Bin   string  `arg:"--bin" default:"bin" help:"where the programs are"`
+	Dir   string  `arg:"--dir" default:"run" help:"where props, logs and data go; made anew"`
+	Stay  bool    `arg:"--stay" help:"bring the fleet up, print its addresses and stay until interrupted"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var a args
+	arg.MustParse(&a)
+	long, err := time.ParseDuration(a.For)
+	shapes := map[string]func(float64) sim.Shape{"fumettoteca": sim.Fumettoteca, "ingenzi": sim.Ingenzi}
+	_, known := fleetrun.Plans[a.Plan]
+	if err != nil || long > 10*time.Minute || a.Scale <= 0 || a.Scale > 1 || shapes[a.Shape] == nil || !known {
+		fmt.Fprintln(os.Stderr, "fleet: unknown shape or plan, or a time or scale out of bounds; see --help")
+		return 2
+	}
+	coord := map[string]float64{"fumettoteca": 110, "ingenzi": 60}[a.Shape] * a.Scale
+	if err = os.RemoveAll(filepath.Clean(a.Dir)); err == nil {
+		err = os.MkdirAll(a.Dir, 0o755)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		return 2
+	}
+	r, err := fleetrun.New(a.Bin, a.Dir, shapes[a.Shape](a.Scale), os.Stdout)
+	if err == nil {
+		err = r.Up()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		return 2
+	}
+	if a.Stay {
+		fmt.Println("fronts:", r.Fronts())
+		fmt.Println("puffinctl --at", r.Nodes[0].Host+":7003", "status")
+		sig := make(chan os.Signal, 1)
+		signal.Notify(sig, syscall.SIGINT, syscall.SIGTERM)
+		<-sig
+		r.Down()
+		return 0
+	}
+	if !r.Go(a.Plan, long, coord) {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleetrun/plan.go
@@ -0,0 +1,123 @@
+package fleetrun
+
+import (
+	"syscall"
+	"time"
+)
+
+// step is one fault or change of a plan.
+type step struct {
+	at   float64 // part of the run's time
+	what string
+	do   func(*Run)
+}
+
+// Plans by name.
+var Plans = map[string][]step{
+	"calm": nil,
+	// One core process and then one worker are killed and come back; a node
+	// is killed, another frozen; a change is applied; one of each is rolled.
+	"kills": {
+		{0.08, "kill the writing store", func(r *Run) { r.killWriter() }},
+		{0.20, "kill a worker, back under a new identity", func(r *Run) { r.replaceWorker(1, false) }},
+		{0.32, "kill a registry, back after 3 s", func(r *Run) { r.bounce(r.Cores[1].Registry, syscall.SIGKILL, 3*time.Second) }},
+		{0.42, "drain a worker and replace it", func(r *Run) { r.replaceWorker(2, true) }},
+		{0.52, "change the configuration", func(r *Run) { r.change() }},
+		{0.60, "kill a proxy, back after 2 s", func(r *Run) { r.bounceNode(3, syscall.SIGKILL, 2*time.Second) }},
+		{0.70, "freeze a proxy for 3 s", func(r *Run) { r.freeze(4, 3*time.Second) }},
+		{0.80, "roll a proxy politely", func(r *Run) { r.bounceNode(5, syscall.SIGTERM, 0) }},
+		{0.88, "roll a core machine politely", func(r *Run) {
+			r.bounce(r.Cores[2].Registry, syscall.SIGTERM, 0)
+			r.bounce(r.Cores[2].Store, syscall.SIGTERM, 0)
+		}},
+	},
+}
+
+// Play runs a plan's steps at their times; it returns when the time is over.
+func (r *Run) Play(plan string, long time.Duration) {
+	from := time.Now()
+	for _, s := range Plans[plan] {
+		if wait := time.Duration(s.at*float64(long)) - time.Since(from); wait > 0 {
+			pause(wait)
+		}
+		r.Mark("%s", s.what)
+		s.do(r)
+	}
+	if wait := long - time.Since(from); wait > 0 {
+		pause(wait)
+	}
+}
+
+func (r *Run) killWriter() {
+	for _, c := range r.Cores {
+		if code, got := r.Get("GET", c.Host+":7004", "/puffin/ready", ""); code == 200 && got["role"] == "write" {
+			c.Store.End(syscall.SIGKILL, time.Second)
+			pause(3 * time.Second)
+			_ = c.Store.Start()
+			took, ok := r.Until(15*time.Second, func() bool {
+				code, _ := r.Get("GET", c.Host+":7004", "/puffin/ready", "")
+				return code == 200
+			})
+			r.Mark("  %s is ready again %.2f s after its start: %v", c.Store.Name, took.Seconds(), ok)
+			return
+		}
+	}
+}
+
+func (r *Run) bounce(p *Proc, s syscall.Signal, away time.Duration) {
+	code, took := p.End(s, 25*time.Second)
+	if s == syscall.SIGTERM {
+		r.Mark("  %s ended with %d after %.2f s", p.Name, code, took.Seconds())
+	}
+	pause(away)
+	_ = p.Start()
+}
+
+func (r *Run) bounceNode(i int, s syscall.Signal, away time.Duration) {
+	n := r.Nodes[i%len(r.Nodes)]
+	from := time.Now()
+	r.bounce(n.Proxy, s, away)
+	took, ok := r.Until(15*time.Second, func() bool {
+		code, _ := r.Get("GET", n.Host+":7003", "/puffin/ready", "")
+		return code == 200
+	})
+	if s != syscall.SIGTERM {
+		r.Obs.Lost(n.Host+":8000", from, time.Now())
+	}
+	r.Mark("  %s is ready %.2f s after its start: %v", n.Proxy.Name, took.Seconds(), ok)
+}
+
+// freeze stops a process's clock ticks without ending it.
+func (r *Run) freeze(i int, long time.Duration) {
+	n := r.Nodes[i%len(r.Nodes)]
+	n.Proxy.Signal(syscall.SIGSTOP)
+	pause(long)
+	n.Proxy.Signal(syscall.SIGCONT)
+}
+
+// replaceWorker ends a worker and starts a fresh one at its address.
+func (r *Run) replaceWorker(i int, polite bool) {
+	n := r.Nodes[i%len(r.Nodes)]
+	n.mu.Lock()
+	w := n.Worker
+	n.mu.Unlock()
+	if polite {
+		w.Leave("draining")
+		pause(2500 * time.Millisecond)
+		w.Leave("gone")
+	}
+	w.Kill()
+	if !polite {
+		pause(time.Second)
+	}
+	if err := r.StartWorker(n); err != nil {
+		r.Mark("  worker did not start: %v", err)
+	}
+}
+
+// change applies the same document as a new version through any node.
+func (r *Run) change() {
+	_, got := r.Get("GET", r.Nodes[0].Host+":7003", "/puffin/config", "")
+	v, _ := got["version"].(float64)
+	r.Mark("  version %d applied: %v", int(v)+1, r.Apply(r.Nodes[7%len(r.Nodes)].Host+":7003", uint64(v), r.S.Doc))
+}
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -21,7 +21,13 @@
 // before, so nothing can be sent twice.
 func (x *Proxy) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:            func(ctx context.Context, _, addr string) (net.Conn, error) { return x.e.Net.Dial(ctx, addr) },
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			c, err := x.e.Net.Dial(ctx, addr)
+			if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok && err == nil {
+				sent.Store(true)
+			}
+			return c, err
+		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -42,7 +42,7 @@
 	defer x.busy.Add(-1)
 	j := &job{id: fmt.Sprintf("%s.%s.%d", x.P.Node, x.boot, x.seq.Add(1)), req: r, from: time.Now(), tried: map[string]bool{}}
 	w.Header().Set(seal.Job, j.id)
-	if !x.Ready() {
+	if !x.Open() {
 		x.busyNow(w, "this node is not taking jobs: "+x.life.Now())
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -70,7 +70,8 @@
 		state.Move{From: "starting", By: "filled", To: "ready"},
 		state.Move{From: "starting", By: "stop", To: "leaving"},
 		state.Move{From: "ready", By: "stop", To: "leaving"},
-		state.Move{From: "leaving", By: "end", To: "ended"})
+		state.Move{From: "leaving", By: "shut", To: "shut"},
+		state.Move{From: "shut", By: "end", To: "ended"})
 	x.rep.Subscribe(x.news)
 	return x
 }
@@ -127,7 +128,10 @@
 	return nil
 }
 
-// Ready tells whether jobs are taken.
+// Open tells whether jobs are taken: a leaving node takes them for a while.
+func (x *Proxy) Open() bool { return x.life.Is("ready", "leaving") }
+
+// Ready tells the platform whether to send callers here.
 func (x *Proxy) Ready() bool { return x.life.Is("ready") }
 
 // Kill ends the process at once.
@@ -148,8 +152,10 @@
 	x.leaveGates()
 	ctx, end := context.WithTimeout(x.g.Context(), x.P.Grace)
 	defer end()
-	// Callers and fronts see readiness and the flag before doors close.
-	pause(ctx, x.P.Leave/2)
+	// Callers learn from readiness, which the platform polls; until they had
+	// the time to, this front goes on taking their jobs.
+	pause(ctx, x.P.Leave)
+	x.life.Fire("shut")
 	over := make(chan struct{})
 	x.g.Go("wait-jobs", func(context.Context) {
 		x.under.Wait()
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -32,6 +32,10 @@
 	Far      time.Duration
 }
 
+// Serves names the service of the i-th node's worker: each area has workers of
+// each service.
+func (s Shape) Serves(i int) string { return s.Services[(i+i/len(Areas))%len(s.Services)] }
+
 // Core is one core machine.
 type Core struct {
 	Host     string
@@ -167,7 +171,7 @@
 	}
 	for i, n := range f.Nodes {
 		f.StartProxy(n)
-		f.StartWorker(n, f.S.Services[i%len(f.S.Services)])
+		f.StartWorker(n, f.S.Serves(i))
 	}
 	f.Until(15*time.Second, "the first configuration is taken", func() bool {
 		code, v := f.Apply(f.Fronts()[0], 0, f.S.Doc)
--- a/internal/stand/observer.go
+++ b/internal/stand/observer.go
@@ -279,3 +279,10 @@
 	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
 	return l[min(int(float64(len(l))*q), len(l)-1)]
 }
+
+// Runs counts the runs of a service.
+func (o *Observer) Runs(service string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.first[service]) + len(o.second[service])
+}
