Faults of the core under virtual time, and locks held over waits made of channels

Cause: a mutex held over a disk sync stops virtual time, so a slow disk hung the test. Each of 9 faults and a replacement at a new address: nothing acknowledged lost, no number twice, no old read, no gap in a watch.

--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"puffincrank/internal/task"
@@ -31,7 +30,7 @@
 // Voter is one voter's durable promise for one duty, and when it last heard
 // the holder.
 type Voter struct {
-	mu    sync.Mutex
+	mu    task.Lock // held over the write of a promise
 	vow   Number
 	heard time.Time
 	lease time.Duration
@@ -41,7 +40,7 @@
 // NewVoter makes a voter from its stored promise. A voter that just started
 // may have heard the holder right before, so it counts as heard now.
 func NewVoter(vow Number, lease time.Duration, keep func(Number) error) *Voter {
-	v := &Voter{vow: vow, lease: lease, keep: keep}
+	v := &Voter{mu: task.NewLock(), vow: vow, lease: lease, keep: keep}
 	if vow.Round > 0 {
 		v.heard = time.Now()
 	}
--- a/internal/paxos/acceptor.go
+++ b/internal/paxos/acceptor.go
@@ -15,6 +15,7 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/disk"
 	"puffincrank/internal/fault"
+	"puffincrank/internal/task"
 )
 
 // Format is the version of the stored files.
@@ -56,7 +57,7 @@
 // Acceptor holds the files of one replica.
 type Acceptor struct {
 	fs      disk.FS
-	io      sync.Mutex // one write at a time; taken before mu
+	io      task.Lock  // one write at a time; taken before mu
 	mu      sync.Mutex // the fields below, never held over a write
 	entries map[uint64]*Entry
 	sums    map[uint64][]byte
@@ -71,7 +72,7 @@
 // Open reads the folder of a replica. A damaged identity, promise or only
 // checkpoint makes the replica empty: its old votes must not be lent again.
 func Open(fs disk.FS) (*Acceptor, error) {
-	a := &Acceptor{fs: fs, entries: map[uint64]*Entry{}, sums: map[uint64][]byte{}}
+	a := &Acceptor{fs: fs, io: task.NewLock(), entries: map[uint64]*Entry{}, sums: map[uint64][]byte{}}
 	names, err := disk.Names(fs, "")
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/sim/core_test.go
@@ -0,0 +1,230 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/event"
+	"puffincrank/internal/stand"
+)
+
+// small is a fleet for faults of the core: few nodes, all of the core.
+func small() Shape {
+	s := Fumettoteca(0.1)
+	s.Nodes = 3
+	return s
+}
+
+// apps runs coordination callers in the background.
+func (f *Fleet) apps(long time.Duration) func() *stand.Coord {
+	f.Net.Place("10.0.9.7", "outside")
+	var at []string
+	for _, c := range f.Cores {
+		at = append(at, c.Host+":7003")
+	}
+	for _, n := range f.Nodes {
+		at = append(at, n.Host+":7003")
+	}
+	c := stand.NewCoord(f.env("apps", "10.0.9.7", "outside", new(time.Duration)), at, f.Obs)
+	over := make(chan struct{})
+	f.g.Go("apps", func(context.Context) {
+		c.Run(10, 60, long)
+		close(over)
+	})
+	return func() *stand.Coord { <-over; return c }
+}
+
+// serves waits until a write goes through any node, and tells how long.
+func (f *Fleet) serves(bound time.Duration) time.Duration {
+	return f.Until(bound, "a write goes through", func() bool {
+		code, _ := f.Ask("PUT", f.Nodes[0].Host+":7003", "/puffin/keys/probe", `{"value":"x"}`)
+		return code == 200
+	})
+}
+
+// kept notes what was acknowledged before a fault, and checks it after.
+type kept struct {
+	rev, num, fence uint64
+	version         float64
+}
+
+func (f *Fleet) keep() kept {
+	_, a := f.Ask("PUT", f.Cores[1].Host+":7003", "/puffin/keys/kept", `{"value":"v"}`)
+	_, b := f.Ask("POST", f.Nodes[0].Host+":7003", "/puffin/numbers/kept/next", `{}`)
+	_, c := f.Ask("POST", f.Nodes[1].Host+":7003", "/puffin/locks/kept/acquire", `{"owner":"me","ttl_ms":600000}`)
+	_, d := f.Get(f.Nodes[0].Host+":7003", "/puffin/config")
+	rev, _ := a["rev"].(float64)
+	num, _ := b["number"].(float64)
+	fence, _ := c["fence"].(float64)
+	version, _ := d["version"].(float64)
+	if rev == 0 || num == 0 || fence == 0 || version == 0 {
+		f.T.Fatalf("nothing was acknowledged: %v %v %v %v", a, b, c, d)
+	}
+	return kept{uint64(rev), uint64(num), uint64(fence), version}
+}
+
+func (f *Fleet) still(k kept) {
+	f.T.Helper()
+	at := f.Nodes[2].Host + ":7003"
+	_, a := f.Get(at, "/puffin/keys/kept")
+	_, b := f.Ask("POST", at, "/puffin/numbers/kept/next", `{}`)
+	code, c := f.Ask("POST", at, "/puffin/locks/kept/acquire", `{"owner":"other"}`)
+	_, d := f.Get(at, "/puffin/config")
+	num, _ := b["number"].(float64)
+	if a["value"] != "v" || a["rev"] != float64(k.rev) || uint64(num) <= k.num || code != 409 || c["fence"] != float64(k.fence) || d["version"] != k.version {
+		f.T.Errorf("lost after the fault: %v %v %d %v %v, kept %+v", a, b, code, c, d["version"], k)
+	}
+	f.Ask("POST", at, "/puffin/locks/kept/release", `{"owner":"me"}`)
+}
+
+// coreFault is one fault of the core: brought about, then mended.
+type coreFault struct {
+	name string
+	do   func(f *Fleet)
+	undo func(f *Fleet)
+	away time.Duration // how long it lasts
+	back time.Duration // bound on service after do, while it lasts; 0: none is owed
+}
+
+var coreFaults = []coreFault{
+	{"writer killed and its power lost", func(f *Fleet) { f.KillCore(f.mark(f.Writer()), true) }, func(f *Fleet) { f.BackCore(f.marked) }, 5 * time.Second, 5 * time.Second},
+	{"writer isolated", func(f *Fleet) { f.Net.Isolate(f.mark(f.Writer()).Host, true) }, func(f *Fleet) { f.Net.Isolate(f.marked.Host, false) }, 6 * time.Second, 6 * time.Second},
+	{"writer cut one way: it hears, but nobody hears it", func(f *Fleet) { f.oneWay(f.mark(f.Writer()), true) }, func(f *Fleet) { f.oneWay(f.marked, false) }, 6 * time.Second, 6 * time.Second},
+	{"one disk wiped", func(f *Fleet) { c := f.mark(f.Writer()); f.KillCore(c, true); c.Disk.Wipe() }, func(f *Fleet) { f.BackCore(f.marked) }, 3 * time.Second, 5 * time.Second},
+	{"all three killed and their power lost", func(f *Fleet) {
+		for _, c := range f.Cores {
+			f.KillCore(c, true)
+		}
+	}, func(f *Fleet) {
+		for _, c := range f.Cores {
+			f.BackCore(c)
+		}
+	}, 4 * time.Second, 0},
+	{"writer's disk slow", func(f *Fleet) { f.mark(f.Writer()).Disk.Slow(700 * time.Millisecond) }, func(f *Fleet) { f.marked.Disk.Slow(0) }, 8 * time.Second, 6 * time.Second},
+	{"writer's disk full", func(f *Fleet) { f.mark(f.Writer()).Disk.Room(10) }, func(f *Fleet) { f.marked.Disk.Room(-1) }, 6 * time.Second, 6 * time.Second},
+	{"a stored version damaged", func(f *Fleet) {
+		c := f.mark(f.Writer())
+		f.KillCore(c, true)
+		names, _ := c.Disk.List()
+		for _, n := range names {
+			if n[0] == 'v' {
+				c.Disk.Harm(n, false)
+			}
+		}
+	}, func(f *Fleet) { f.BackCore(f.marked) }, 3 * time.Second, 5 * time.Second},
+	{"rolled one by one", func(f *Fleet) {
+		for _, c := range f.Cores {
+			c.Registry.Stop()
+			c.Store.Stop()
+			f.BackCore(c)
+			Wait(time.Second)
+		}
+	}, func(*Fleet) {}, time.Second, 5 * time.Second},
+}
+
+func (f *Fleet) mark(c *Core) *Core {
+	if c == nil {
+		f.T.Fatal("nobody writes")
+	}
+	f.marked = c
+	return c
+}
+
+func (f *Fleet) oneWay(c *Core, on bool) {
+	for _, o := range f.Cores {
+		if o != c {
+			f.Net.Cut(c.Host, o.Host, on)
+		}
+	}
+	for _, n := range f.Nodes {
+		f.Net.Cut(c.Host, n.Host, on)
+	}
+}
+
+// TestCoreFaults brings about each fault of one core machine under
+// coordination calls: nothing acknowledged is lost, nothing is given twice,
+// and service returns within the bound.
+func TestCoreFaults(t *testing.T) {
+	for i, c := range coreFaults {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := NewFleet(t, small(), uint64(i)+10)
+				defer f.Stop()
+				f.Start()
+				k := f.keep()
+				apps := f.apps(c.away + 14*time.Second)
+				Wait(2 * time.Second)
+				c.do(f)
+				if c.back > 0 {
+					t.Logf("writes go through %v after the fault", f.serves(c.back).Round(time.Millisecond))
+				}
+				Wait(c.away)
+				c.undo(f)
+				t.Logf("writes go through %v after machines came back", f.serves(15*time.Second).Round(time.Millisecond))
+				f.Until(15*time.Second, "all three stores are ready", f.coreReady)
+				a := apps()
+				f.still(k)
+				f.Judge()
+				if a.Done["locks 200"] < 50 || a.Done["keys 200"] < 50 || a.Done["watch?prefix=k 200"] < 5 {
+					t.Errorf("too few calls went through: %v", a.Done)
+				}
+			})
+		})
+	}
+}
+
+func (f *Fleet) coreReady() bool {
+	for _, c := range f.Cores {
+		if c.Store == nil {
+			continue
+		}
+		if code, _ := f.Get(c.Host+":7004", "/puffin/ready"); code != 200 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestNewMachine: a core machine is lost for good and an empty one at a new
+// address takes its place; proxies with the old seeds find it; then one more
+// machine is lost, and service goes on.
+func TestNewMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, small(), 30)
+		defer f.Stop()
+		var replaced atomic.Int64
+		f.Log = func(e event.Entry) {
+			if e.Num == event.Replaced.Num {
+				replaced.Add(1)
+			}
+		}
+		f.Start()
+		k := f.keep()
+		apps := f.apps(45 * time.Second)
+		lost := f.mark(f.Writer())
+		f.KillCore(lost, false)
+		fresh := &Core{Host: "10.0.0.44", Area: lost.Area, Disk: NewDisk()}
+		f.Cores = append(f.Cores, fresh)
+		f.BackCore(fresh)
+		took := f.Until(25*time.Second, "the new store is a ready member", func() bool {
+			code, got := f.Get(fresh.Host+":7004", "/puffin/ready")
+			return code == 200 && replaced.Load() == 1 && fmt.Sprint(got["role"]) != "empty"
+		})
+		t.Logf("in place %v after its start", took.Round(time.Millisecond))
+		f.serves(5 * time.Second)
+		for _, c := range f.Cores {
+			if c != lost && c != fresh {
+				f.KillCore(c, true)
+				break
+			}
+		}
+		t.Logf("after the second fault writes go through in %v", f.serves(10*time.Second).Round(time.Millisecond))
+		f.still(k)
+		apps()
+		f.Judge()
+	})
+}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -59,15 +59,16 @@
 
 // Fleet is a whole mesh in one process, under virtual time.
 type Fleet struct {
-	T     testing.TB
-	S     Shape
-	Net   *Net
-	Obs   *stand.Observer
-	Cores []*Core
-	Nodes []*Node
-	Log   func(event.Entry)
-	way   *http.Transport
-	g     *task.Group
+	T      testing.TB
+	S      Shape
+	Net    *Net
+	Obs    *stand.Observer
+	Cores  []*Core
+	Nodes  []*Node
+	Log    func(event.Entry)
+	way    *http.Transport
+	g      *task.Group
+	marked *Core // the core machine of the fault under way
 }
 
 // Areas of the fleets.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,7 +31,7 @@
 	vote *ballot.Voter
 	role *state.Machine
 
-	learn sync.Mutex // one at a time extends the applied state
+	learn task.Lock // one at a time extends the applied state
 	mu    sync.Mutex
 	led   *ledger.State
 	slot  uint64
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{P: p, e: e, g: task.New(context.Background()), acc: acc, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
+	s := &Store{learn: task.NewLock(), P: p, e: e, g: task.New(context.Background()), acc: acc, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
 	s.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "store"}, e, s.g, p.Frame, p.Jobs, p.Patience())
 	for _, n := range acc.Notes {
 		e.Log.Emit(event.Damaged, "file", n)
