--- a/internal/nominate/nominate.go
+++ b/internal/nominate/nominate.go
@@ -32,6 +32,8 @@
 	area  string
 	fresh time.Duration // how long a receipt's word on load counts
 	mates map[string]*mate
+	shun  map[string]time.Time // owners that could not be reached, until when
+	here  map[string]bool      // nodes with a session; nil: not known
 	tell  func(worker string, fit bool)
 	Near  int64
 	Far   int64
@@ -39,7 +41,7 @@
 
 // New makes a nominator for a front in an area.
 func New(area string, fresh time.Duration, tell func(string, bool)) *Nominator {
-	return &Nominator{area: area, fresh: fresh, mates: map[string]*mate{}, tell: tell}
+	return &Nominator{area: area, fresh: fresh, mates: map[string]*mate{}, shun: map[string]time.Time{}, tell: tell}
 }
 
 func (n *Nominator) mate(worker string) *mate {
@@ -65,12 +67,16 @@
 func (n *Nominator) Pick(all []ormap.Entry, tried map[string]bool) (ormap.Entry, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var near, far, full []ormap.Entry
+	var near, far, full, lost []ormap.Entry
 	for _, e := range all {
 		if tried[e.Worker] || e.Meta["state"] == "draining" {
 			continue
 		}
 		switch {
+		case time.Now().Before(n.shun[e.Owner]), n.here != nil && !n.here[e.Owner]:
+			// Asked only when there is nobody else: its entries stay until it
+			// is retired, and each try would cost a repeat.
+			lost = append(lost, e)
 		case n.load(e) >= 1:
 			full = append(full, e)
 		case e.Area == n.area:
@@ -89,6 +95,9 @@
 	if len(list) == 0 {
 		list = full
 	}
+	if len(list) == 0 {
+		list = lost
+	}
 	if len(list) == 0 {
 		return ormap.Entry{}, false
 	}
@@ -205,6 +214,20 @@
 	return l[len(l)/2]
 }
 
+// Here tells which nodes have a session with a control node.
+func (n *Nominator) Here(nodes map[string]bool) {
+	n.mu.Lock()
+	n.here = nodes
+	n.mu.Unlock()
+}
+
+// Shun leaves an owner out for a while: it could not be reached.
+func (n *Nominator) Shun(owner string, long time.Duration) {
+	n.mu.Lock()
+	n.shun[owner] = time.Now().Add(long)
+	n.mu.Unlock()
+}
+
 // Forget drops a worker that is gone.
 func (n *Nominator) Forget(worker string) {
 	n.mu.Lock()
--- a/internal/proxy/beat.go
+++ b/internal/proxy/beat.go
@@ -99,15 +99,6 @@
 	}
 }
 
-// drain shuts the door at once and flags the entry for the others.
-func (x *Proxy) drain(g *gate) {
-	g.room.Close()
-	if g.state.Fire("drain") {
-		x.e.Log.Emit(event.Draining, "worker", g.worker)
-		x.enter(g, "draining")
-	}
-}
-
 // enter puts the gate's entry into the registry with a fresh dot.
 func (x *Proxy) enter(g *gate, say string) {
 	e := x.rep.Register(g.service, g.worker, map[string]string{"slots": strconv.Itoa(g.slots), "state": say, "addr": g.addr})
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"puffincrank/internal/class"
+	"puffincrank/internal/event"
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/state"
@@ -23,6 +24,7 @@
 	heard   time.Time
 	bad     int // failed probes in a row
 	dot     ormap.Dot
+	leaves  time.Time // when it said that it is leaving
 }
 
 func newGate(worker, service, addr string, slots int) *gate {
@@ -111,3 +113,37 @@
 	defer g.mu.Unlock()
 	return g.heard
 }
+
+// takes tells whether new jobs may go in: while the worker is up, and for a
+// part of the leaving bound after it began to drain. Fronts that have not seen
+// the flag yet would otherwise spend repeats, or their callers get errors, for
+// a planned leave.
+func (x *Proxy) takes(g *gate) bool {
+	if g.state.Is("up") {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state.Is("draining") && time.Since(g.leaves) < x.P.Leave/4
+}
+
+// drain flags the entry for the others at once and shuts the door soon after.
+func (x *Proxy) drain(g *gate) {
+	g.mu.Lock()
+	first := !g.state.Is("draining")
+	if first {
+		g.leaves = time.Now()
+	}
+	g.mu.Unlock()
+	if !first || !g.state.Fire("drain") {
+		return
+	}
+	x.e.Log.Emit(event.Draining, "worker", g.worker)
+	x.enter(g, "draining")
+	x.g.Go("shut-door", func(ctx context.Context) {
+		pause(ctx, x.P.Leave/4)
+		if g.state.Is("draining") {
+			g.room.Close()
+		}
+	})
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -114,7 +114,7 @@
 		v.gate = nil
 		return v.refuse("no such worker here")
 	}
-	if !v.gate.state.Is("up") {
+	if !x.takes(v.gate) {
 		return v.refuse("worker is " + v.gate.state.Now())
 	}
 	return true
@@ -132,7 +132,7 @@
 	if !time.Now().Before(v.end) {
 		return v.refuse("no time left before delivery")
 	}
-	if !v.gate.state.Is("up") {
+	if !x.takes(v.gate) {
 		return v.refuse("worker is " + v.gate.state.Now())
 	}
 	if !x.touch.confirm(ctx) {
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -85,8 +85,9 @@
 	j.sends++
 	j.tried[j.entry.Worker] = true
 	left := time.Until(j.end)
-	// A job that may be sent again keeps some time for it.
-	if j.arm.Safe && j.sends < j.arm.Tries {
+	// A job that may be sent again keeps some time for it, if a repeat is to
+	// be had at all.
+	if j.arm.Safe && j.sends < j.arm.Tries && x.again.Could(j.arm.Service) {
 		left = left * 6 / 10
 	}
 	h := session.Hand{Job: j.id, Attempt: fmt.Sprintf("%s.%d", j.id, j.sends), Path: j.path.Name, Arm: j.arm.Name,
@@ -118,8 +119,10 @@
 	switch {
 	case err == nil:
 	case fault.Is(err, fault.Unsent), fault.Is(err, fault.Refused):
+		x.pick.Shun(j.entry.Owner, x.P.Change/2)
 		return session.Back{Kind: session.Refused, Why: "owner can't be reached", Used: -1}
 	default:
+		x.pick.Shun(j.entry.Owner, x.P.Change/2)
 		return session.Back{Kind: session.Unknown, Why: "no receipt from the owner", Late: ctx.Err() != nil, Used: -1}
 	}
 	// The answer is checked again here: it must be for this very attempt.
--- a/internal/proxy/touch.go
+++ b/internal/proxy/touch.go
@@ -161,6 +161,11 @@
 	t.mu.Unlock()
 	if news {
 		x.rep.Peers(got.Members)
+		here := map[string]bool{x.P.Node: true}
+		for _, f := range got.Members {
+			here[f.Node] = true
+		}
+		x.pick.Here(here)
 	}
 	x.again.Nodes(got.Count)
 	// A new replica, or one that was away for too long, is refilled before
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -81,6 +81,24 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	r := b.at(service, now)
+	if !b.may(r, now) {
+		b.No++
+		return false
+	}
+	r.second = append(r.second, now)
+	b.Yes++
+	return true
+}
+
+// Could tells whether a repeat would be allowed just now.
+func (b *Budget) Could(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	return b.may(b.at(service, now), now)
+}
+
+func (b *Budget) may(r *row, now time.Time) bool {
 	part := 0.0
 	if b.nodes > 0 {
 		part = b.allow / float64(b.nodes)
@@ -90,14 +108,8 @@
 	// repeats from standing alone when traffic falls off right after it.
 	short := now.Add(-b.window / 5)
 	one, two := len(cut(r.first, short)), len(cut(r.second, short))
-	if float64(len(r.second)+1) > 0.9*b.share*float64(len(r.first))+part ||
-		float64(two+1) > 1.5*b.share*float64(one)+max(part, 1) {
-		b.No++
-		return false
-	}
-	r.second = append(r.second, now)
-	b.Yes++
-	return true
+	return float64(len(r.second)+1) <= 0.9*b.share*float64(len(r.first))+part &&
+		float64(two+1) <= 1.5*b.share*float64(one)+max(part, 1)
 }
 
 // Counts gives the first and second sends within the window.
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"puffincrank/internal/stand"
@@ -70,6 +71,9 @@
 func (f *Fleet) Load(lines []stand.Line, long time.Duration) func() {
 	f.Net.Place("10.0.9.8", "outside")
 	c := stand.NewCallers(f.env("callers", "10.0.9.8", "outside", new(time.Duration)), f.Fronts(), f.Obs, 15*time.Second)
+	if f.Polled {
+		c.Skip = f.poll()
+	}
 	over := make(chan struct{})
 	f.g.Go("load", func(context.Context) {
 		c.Run(lines, long)
@@ -78,6 +82,23 @@
 	return func() { <-over }
 }
 
+// poll looks at every node's readiness each second, as the platform does.
+func (f *Fleet) poll() func(string) bool {
+	var away sync.Map
+	f.g.Every("platform", time.Second, func(context.Context) {
+		for _, n := range f.Nodes {
+			f.g.Go("poll-ready", func(context.Context) {
+				code, _ := f.Get(n.Host+":7003", "/puffin/ready")
+				away.Store(n.Host+":8000", code != 200)
+			})
+		}
+	})
+	return func(front string) bool {
+		off, _ := away.Load(front)
+		return off == true
+	}
+}
+
 // Stop ends everything at once.
 func (f *Fleet) Stop() {
 	for _, n := range f.Nodes {
@@ -89,6 +110,8 @@
 	}
 	f.way.CloseIdleConnections()
 	f.g.Stop()
+	// net/http lingers for half a second on connections that it cut short.
+	Wait(time.Second)
 }
 
 // Judge fails the test on any count of what must never happen.
@@ -104,6 +127,9 @@
 		f.T.Log(n)
 	}
 	f.T.Logf("calls: %v", f.Obs.Counts())
+	for why, n := range f.Obs.Reasons() {
+		f.T.Logf("%5d × %s", n, why)
+	}
 }
 
 // Fumettoteca is the first deployment's shape; scale is the part of its rate.
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -35,7 +35,7 @@
 
 // Serves names the service of the i-th node's worker: each area has workers of
 // each service.
-func (s Shape) Serves(i int) string { return s.Services[(i+i/len(Areas))%len(s.Services)] }
+func (s Shape) Serves(i int) string { return s.Services[(i%len(Areas)+i/len(Areas))%len(s.Services)] }
 
 // Core is one core machine.
 type Core struct {
@@ -66,6 +66,7 @@
 	Cores  []*Core
 	Nodes  []*Node
 	Log    func(event.Entry)
+	Polled bool // callers leave out nodes that the platform finds unready
 	way    *http.Transport
 	g      *task.Group
 	marked *Core // the core machine of the fault under way
--- a/internal/stand/observer.go
+++ b/internal/stand/observer.go
@@ -286,3 +286,16 @@
 	defer o.mu.Unlock()
 	return len(o.first[service]) + len(o.second[service])
 }
+
+// Reasons counts why calls were not done, in the mesh's own words.
+func (o *Observer) Reasons() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string]int{}
+	for _, c := range o.calls {
+		if c.Status != 200 {
+			out[fmt.Sprintf("%d %s", c.Status, strings.TrimSpace(c.Body))]++
+		}
+	}
+	return out
+}
--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -44,7 +44,7 @@
 	say               string
 	left              time.Time // when it said that it is leaving
 	now, most         int
-	Calls             func(ctx context.Context, w *Worker, left string) // nested call
+	calls             func(left string) // a nested call, with the time left
 }
 
 // NewWorker starts a worker; obs may be nil when nobody counts.
@@ -114,6 +114,13 @@
 	k.beat(k.g.Context())
 }
 
+// CallsTo makes every job of this worker make a call of its own.
+func (k *Worker) CallsTo(f func(left string)) {
+	k.mu.Lock()
+	k.calls = f
+	k.mu.Unlock()
+}
+
 // Kill ends the worker at once.
 func (k *Worker) Kill() { k.g.Stop() }
 
@@ -165,8 +172,11 @@
 			t.Stop()
 		}
 	}
-	if k.Calls != nil {
-		k.Calls(r.Context(), k, r.Header.Get(seal.Left))
+	k.mu.Lock()
+	calls := k.calls
+	k.mu.Unlock()
+	if calls != nil {
+		calls(r.Header.Get(seal.Left))
 	}
 	if rand.Float64() < way.Lose {
 		panic(http.ErrAbortHandler)
