--- /dev/null
+++ b/internal/sim/bad_test.go
@@ -0,0 +1,174 @@
+package sim
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/stand"
+)
+
+// TestBadCalls: what callers and workers send wrong is told so, and not run.
+func TestBadCalls(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := small()
+		f := NewFleet(t, s, 44)
+		defer f.Stop()
+		f.Start()
+		n := f.Nodes[0]
+		call := func(method, uri, left string, size int) int {
+			r, _ := http.NewRequest(method, "http://"+n.Host+":8000"+uri, strings.NewReader(strings.Repeat("x", size)))
+			if left != "" {
+				r.Header.Set("Puffin-Left", left)
+			}
+			w, err := f.way.RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = w.Body.Close()
+			if w.StatusCode != 200 && w.Header.Get("Puffin-Ran") != "no" {
+				t.Errorf("%s %s: not told that it did not run", method, uri)
+			}
+			return w.StatusCode
+		}
+		for _, c := range []struct {
+			method, uri, left string
+			size, want        int
+		}{
+			{"GET", "/nowhere", "", 0, 404}, {"DELETE", "/loans", "", 0, 404}, {"GET", "/pages", "0", 0, 400}, {"GET", "/pages", "-5", 0, 400},
+			{"GET", "/pages", "soon", 0, 400}, {"POST", "/loans", "", 2 << 20, 413}, {"POST", "/loans", "900", 100, 200}, {"GET", "/pages/x?y=z", "", 0, 200},
+		} {
+			if got := call(c.method, c.uri, c.left, c.size); got != c.want {
+				t.Errorf("%s %s left %q: %d, want %d", c.method, c.uri, c.left, got, c.want)
+			}
+		}
+		for _, c := range []struct {
+			body string
+			want int
+		}{
+			{`{"service":"pages"}`, 422}, {`{`, 400}, {`{"service":"pages","worker":"w","addr":"host:1","slots":1,"state":"up"}`, 422},
+			{`{"service":"pages","worker":"w","addr":"10.0.1.1:1","slots":0,"state":"up"}`, 422}, {`{"service":"pages","worker":"w","addr":"10.0.1.1:1","slots":1,"state":"well"}`, 422},
+			{`{"service":"pages","worker":"w","addr":"10.0.1.1:1","slots":1,"state":"up","more":1}`, 422},
+		} {
+			if got, _ := f.Ask("POST", n.Host+":7003", "/puffin/beat", c.body); got != c.want {
+				t.Errorf("beat %s: %d, want %d", c.body, got, c.want)
+			}
+		}
+		if _, own := f.Get(n.Host+":7003", "/puffin/own"); own["entries"] != float64(3) {
+			t.Errorf("a bad beat made an entry: %v", own["entries"])
+		}
+		// The same faults through any node, with nothing changed.
+		for _, at := range []string{f.Cores[2].Host, n.Host} {
+			if code, _ := f.Ask("PUT", at+":7003", "/puffin/config?based_on=1", `{"services":[]}`); code != 422 {
+				t.Errorf("a broken document: %d", code)
+			}
+			if code, _ := f.Ask("PUT", at+":7003", "/puffin/config?based_on=1", `{`); code != 400 {
+				t.Errorf("no document: %d", code)
+			}
+			if code, got := f.Ask("PUT", at+":7003", "/puffin/config?based_on=0", s.Doc); code != 409 || got["version"] != float64(1) {
+				t.Errorf("a stale base: %d %v", code, got)
+			}
+			if code, _ := f.Ask("PUT", at+":7003", "/puffin/config", s.Doc); code != 422 {
+				t.Errorf("no base: %d", code)
+			}
+			if _, got := f.Get(at+":7003", "/puffin/config"); got["version"] != float64(1) {
+				t.Errorf("a refused change moved the version: %v", got["version"])
+			}
+		}
+	})
+}
+
+// TestChanges: racing, old and broken changes under load: exactly one of two
+// wins, and every node in touch acts on it within the bound.
+func TestChanges(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := Fumettoteca(0.2)
+		f := NewFleet(t, s, 45)
+		defer f.Stop()
+		f.Start()
+		wait := f.Load(s.Lines, 25*time.Second)
+		version := uint64(1)
+		worst := time.Duration(0)
+		for range 8 {
+			type got struct {
+				code int
+				v    uint64
+			}
+			c := make(chan got, 2)
+			for i := range 2 {
+				at := f.Nodes[i*5].Host
+				go func() {
+					code, v := f.Apply(at+":7003", version, s.Doc)
+					c <- got{code, v}
+				}()
+			}
+			a, b := <-c, <-c
+			if a.code+b.code != 200+409 || a.v != b.v || a.v != version+1 {
+				t.Fatalf("two at once: %+v %+v", a, b)
+			}
+			version++
+			took := f.Until(2*time.Second, "every node holds the version", func() bool {
+				for _, n := range f.Nodes {
+					if _, own := f.Get(n.Host+":7003", "/puffin/own"); own["config_version"] != float64(version) {
+						return false
+					}
+				}
+				return true
+			})
+			worst = max(worst, took)
+			Wait(time.Second)
+		}
+		t.Logf("last node had a version at most %v after its acknowledgement", worst)
+		wait()
+		f.Judge()
+	})
+}
+
+// TestNested: a call made by a worker has only the time left of its parent,
+// and takes a slot of the service that it calls.
+func TestNested(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := small()
+		f := NewFleet(t, s, 46)
+		defer f.Stop()
+		f.Start()
+		codes := make(chan int, 10)
+		for i, n := range f.Nodes {
+			if s.Serves(i) == "lending" {
+				n.Worker.CallsTo(func(left string) {
+					r, _ := http.NewRequest("GET", "http://"+n.Host+":8000/pages/1", nil)
+					r.Header.Set("Puffin-Left", left)
+					w, err := f.way.RoundTrip(r)
+					if err == nil {
+						codes <- w.StatusCode
+						_ = w.Body.Close()
+					}
+				})
+			}
+			if s.Serves(i) == "pages" {
+				n.Worker.Behave(stand.Way{Took: 600 * time.Millisecond})
+			}
+		}
+		r, _ := http.NewRequest("POST", "http://"+f.Fronts()[0]+"/loans", nil)
+		r.Header.Set("Puffin-Left", "250")
+		from := time.Now()
+		w, err := f.way.RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = w.Body.Close()
+		// The nested call gives up within the parent's time, so the parent can
+		// still answer.
+		if took := time.Since(from); took > 260*time.Millisecond || w.StatusCode != 200 {
+			t.Errorf("the parent ended with %d after %v", w.StatusCode, took)
+		}
+		if code := <-codes; code != 504 {
+			t.Errorf("the nested call ended with %d", code)
+		}
+	})
+}
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -149,8 +149,10 @@
 // coordination calls: nothing acknowledged is lost, nothing is given twice,
 // and service returns within the bound.
 func TestCoreFaults(t *testing.T) {
+	t.Parallel()
 	for i, c := range coreFaults {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := NewFleet(t, small(), uint64(i)+10)
 				defer f.Stop()
@@ -193,6 +195,7 @@
 // address takes its place; proxies with the old seeds find it; then one more
 // machine is lost, and service goes on.
 func TestNewMachine(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFleet(t, small(), 30)
 		defer f.Stop()
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -10,6 +10,7 @@
 
 // TestWholePath: the fleet founds itself, takes a configuration and serves.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFleet(t, Fumettoteca(0.2), 1)
 		f.Log = func(e event.Entry) {
--- a/internal/sim/worker_test.go
+++ b/internal/sim/worker_test.go
@@ -9,6 +9,7 @@
 // TestWorkerKilled: jobs under way at a worker that dies are never run again
 // on a never path.
 func TestWorkerKilled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFleet(t, Fumettoteca(0.5), 2)
 		defer f.Stop()
