--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -20,7 +20,7 @@
 
 type args struct {
 	Shape string  `arg:"--shape" default:"fumettoteca" help:"fumettoteca or ingenzi"`
-	Plan  string  `arg:"--plan" default:"calm" help:"calm, kills or day"`
+	Plan  string  `arg:"--plan" default:"calm" help:"calm, kills, trials or day"`
 	For   string  `arg:"--for" default:"60s" help:"how long the load runs, 10m at the most"`
 	Scale float64 `arg:"--scale" default:"1" help:"part of the deployment's rates, 1 at the most"`
 	Bin   string  `arg:"--bin" default:"bin" help:"where the programs are"`
@@ -48,7 +48,11 @@
 		fmt.Fprintln(os.Stderr, "fleet:", err)
 		return 2
 	}
-	r, err := fleetrun.New(a.Bin, a.Dir, shapes[a.Shape](a.Scale), os.Stdout)
+	shape := shapes[a.Shape](a.Scale)
+	if a.Plan == "trials" {
+		shape = sim.WithAlt(shape)
+	}
+	r, err := fleetrun.New(a.Bin, a.Dir, shape, os.Stdout)
 	if err == nil {
 		err = r.Up()
 	}
--- a/internal/fleetrun/machines.go
+++ b/internal/fleetrun/machines.go
@@ -62,6 +62,7 @@
 	out      io.Writer
 	way      *http.Transport
 	version  uint64
+	missed   []string // what did not end as it should
 	Marks    []string // what was done when
 	began    time.Time
 }
--- a/internal/fleetrun/plan.go
+++ b/internal/fleetrun/plan.go
@@ -3,6 +3,8 @@
 import (
 	"syscall"
 	"time"
+
+	"puffincrank/internal/stand"
 )
 
 // step is one fault or change of a plan.
@@ -31,6 +33,40 @@
 			r.bounce(r.Cores[2].Store, syscall.SIGTERM, 0)
 		}},
 	},
+	// A good, a failing and a slow change, while a core process is killed and
+	// a proxy is rolled.
+	"trials": {
+		{0.08, "propose a good change; kill the writing store meanwhile", func(r *Run) { r.try("promoted", stand.Way{}, func() { r.killWriter() }) }},
+		{0.38, "propose a failing change; roll a proxy meanwhile", func(r *Run) {
+			r.try("held-back", stand.Way{Fail: 0.15}, func() { r.bounceNode(5, syscall.SIGTERM, 0) })
+		}},
+		{0.68, "propose a slow change", func(r *Run) { r.try("held-back", stand.Way{Took: 4}, func() {}) }},
+	},
+	// A day with one fault after another, and one more at its end.
+	"day": {
+		{0.04, "garbling and losing workers", func(r *Run) { r.sick(stand.Way{Garble: 0.3, Lose: 0.3}) }},
+		{0.12, "they are well again", func(r *Run) { r.sick(stand.Way{}) }},
+		{0.16, "kill the writing store", func(r *Run) { r.killWriter() }},
+		{0.24, "freeze the writing store for 4 s", func(r *Run) { r.freezeWriter(4 * time.Second) }},
+		{0.32, "kill four nodes and their workers at once, back after 3 s", func(r *Run) { r.many(4, 3*time.Second) }},
+		{0.42, "wipe the disk of a store", func(r *Run) { r.wipe(1) }},
+		{0.52, "two changes at once, and a broken one", func(r *Run) { r.race() }},
+		{0.56, "replace a worker", func(r *Run) { r.replaceWorker(2, false) }},
+		{0.62, "kill all three core machines, back at once", func(r *Run) { r.allCore() }},
+		{0.74, "roll every core machine", func(r *Run) {
+			for _, c := range r.Cores {
+				r.bounce(c.Registry, syscall.SIGTERM, 0)
+				r.bounce(c.Store, syscall.SIGTERM, 0)
+				pause(2 * time.Second)
+			}
+		}},
+		{0.84, "roll three proxies", func(r *Run) {
+			for i := 6; i < 9; i++ {
+				r.bounceNode(i, syscall.SIGTERM, 0)
+			}
+		}},
+		{0.96, "one more fault at the end: a registry is killed", func(r *Run) { r.bounce(r.Cores[0].Registry, syscall.SIGKILL, time.Second) }},
+	},
 }
 
 // Play runs a plan's steps at their times; it returns when the time is over.
--- a/internal/fleetrun/report.go
+++ b/internal/fleetrun/report.go
@@ -51,7 +51,7 @@
 func (r *Run) report(plan string, took time.Duration, apps *stand.Coord, fleet map[string]any, whole bool, late []string) bool {
 	p := func(form string, args ...any) { fmt.Fprintf(r.out, form+"\n", args...) }
 	bad, notes := r.Obs.Verdict()
-	good := len(late) == 0 && whole
+	good := len(late) == 0 && whole && len(r.missed) == 0
 	p("\n## plan %s, %.0f s", plan, took.Seconds())
 	p("\n| what must never happen | seen |\n| --- | --- |")
 	for _, k := range append(append([]string(nil), stand.Kinds...), stand.CoordKinds...) {
@@ -61,6 +61,9 @@
 	for _, n := range notes {
 		p("    %s", n)
 	}
+	for _, n := range r.missed {
+		p("not as it should: %s", n)
+	}
 	for _, n := range late {
 		p("not a polite end: %s", n)
 	}
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -131,37 +131,3 @@
 		f.T.Logf("%5d × %s", n, why)
 	}
 }
-
-// Fumettoteca is the first deployment's shape; scale is the part of its rate.
-func Fumettoteca(scale float64) Shape {
-	return Shape{Nodes: 12, Slots: 12, Far: time.Millisecond, Services: []string{"pages", "lending", "scans"},
-		Took: map[string]time.Duration{"pages": 20 * time.Millisecond, "lending": 40 * time.Millisecond, "scans": 60 * time.Millisecond},
-		Doc: `{"services":[{"name":"pages"},{"name":"lending"},{"name":"scans"}],
-"classes":[{"name":"reading","share":50},{"name":"desk","share":30},{"name":"upload","share":20}],
-"paths":[{"name":"read","method":"GET","prefix":"/pages","service":"pages","class":"reading","left_ms":1000,"repeat":"safe"},
-{"name":"lend","method":"POST","prefix":"/loans","service":"lending","class":"desk","left_ms":1000},
-{"name":"scan","method":"POST","prefix":"/scans","service":"scans","class":"upload","left_ms":1000},
-{"name":"credit","method":"POST","prefix":"/credits","service":"scans","class":"desk","left_ms":800}]}`,
-		Lines: []stand.Line{
-			{Method: "GET", URI: "/pages/7?side=2", Service: "pages", Safe: true, Rate: 450 * scale},
-			{Method: "POST", URI: "/loans/new", Service: "lending", Rate: 250 * scale, Size: 200},
-			{Method: "POST", URI: "/scans/up", Service: "scans", Rate: 120 * scale, Size: 8000},
-			{Method: "POST", URI: "/credits", Service: "scans", Rate: 80 * scale, Size: 100}}}
-}
-
-// Ingenzi is the second deployment's shape.
-func Ingenzi(scale float64) Shape {
-	return Shape{Nodes: 14, Slots: 18, Far: 1500 * time.Microsecond, Services: []string{"bookings", "boarding", "manifests", "seats"},
-		Took: map[string]time.Duration{"bookings": 120 * time.Millisecond, "boarding": 150 * time.Millisecond, "manifests": 200 * time.Millisecond, "seats": 400 * time.Millisecond},
-		Doc: `{"services":[{"name":"bookings"},{"name":"boarding"},{"name":"manifests"},{"name":"seats"}],
-"classes":[{"name":"agents","share":40},{"name":"desks","share":40},{"name":"supervisors","share":20}],
-"paths":[{"name":"search","method":"GET","prefix":"/bookings","service":"bookings","class":"agents","left_ms":4000,"repeat":"safe"},
-{"name":"board","method":"POST","prefix":"/boarding","service":"boarding","class":"desks","left_ms":4000},
-{"name":"manifest","method":"GET","prefix":"/manifests","service":"manifests","class":"supervisors","left_ms":4000,"repeat":"safe"},
-{"name":"seatmap","method":"GET","prefix":"/seats","service":"seats","class":"agents","left_ms":12000,"repeat":"safe"}]}`,
-		Lines: []stand.Line{
-			{Method: "GET", URI: "/bookings?q=x", Service: "bookings", Safe: true, Rate: 220 * scale},
-			{Method: "POST", URI: "/boarding/pass", Service: "boarding", Rate: 150 * scale, Size: 300},
-			{Method: "GET", URI: "/manifests/12", Service: "manifests", Safe: true, Rate: 40 * scale},
-			{Method: "GET", URI: "/seats/12", Service: "seats", Safe: true, Rate: 60 * scale}}}
-}
--- a/internal/sim/trial_test.go
+++ b/internal/sim/trial_test.go
@@ -10,22 +10,7 @@
 	"puffincrank/internal/stand"
 )
 
-// rehearsal is a fleet with one more service whose workers behave as a test
-// wants.
-func rehearsal() Shape {
-	s := Fumettoteca(0.5)
-	s.Services = []string{"pages", "lending", "scans", "pages2"}
-	s.Took["pages2"] = 20 * time.Millisecond
-	s.Doc = strings.Replace(s.Doc, `{"name":"scans"}`, `{"name":"scans"},{"name":"pages2"},{"name":"nobody"}`, 1)
-	s.Doc = strings.TrimSuffix(s.Doc, "}") + `,"judge":{"slice":20,"least_jobs":100,"least_ms":4000,"most_ms":60000}}`
-	// Both services of pages serve the same callers.
-	for i := range s.Lines {
-		if s.Lines[i].Service == "pages" {
-			s.Lines[i].Service = "pages/pages2"
-		}
-	}
-	return s
-}
+func rehearsal() Shape { return WithAlt(Fumettoteca(0.5)) }
 
 // TestTrials: a good, a failing, a slow and a refusing change each end as they
 // should, under load, while the judge's and the writer's machine is killed and
