--- a/internal/sim/blind_test.go
+++ b/internal/sim/blind_test.go
@@ -39,6 +39,8 @@
 				t.Logf("%s %q: %d %q", at, value, code, op.Value)
 				op.To, op.Unknown = time.Now(), code != 200
 				ops = append(ops, op)
+				// Calls that meet at one moment would count as overlapping.
+				Wait(10 * time.Millisecond)
 			}
 			do(f.Nodes[0].Host, "one")
 			// The writer's machine is cut off from the mesh, but not from callers.
