--- /dev/null
+++ b/internal/fleetrun/cost_test.go
@@ -0,0 +1,153 @@
+package fleetrun
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"puffincrank/internal/disk"
+	"puffincrank/internal/env"
+	"puffincrank/internal/event"
+	"puffincrank/internal/props"
+	"puffincrank/internal/proxy"
+	"puffincrank/internal/registry"
+	"puffincrank/internal/seal"
+	"puffincrank/internal/stand"
+	"puffincrank/internal/store"
+)
+
+// cpu gives the processor time of this process.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// TestCost measures the processor time of a job through the mesh as a ratio to
+// a direct call of the same worker, both over real sockets in one process.
+func TestCost(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real sockets")
+	}
+	quiet := func(n string) env.Env {
+		e := env.Real(n)
+		e.Log = event.New(n, nil)
+		return e
+	}
+	base := "127.0.3."
+	seeds := func(port int) []any {
+		var out []any
+		for i := range 3 {
+			out = append(out, fmt.Sprintf("%s%d:%d", base, i+1, port))
+		}
+		return out
+	}
+	mk := func(program, node, host string, inner, outer int, more map[string]any) props.Props {
+		more["node"], more["area"] = node, "x"
+		more["inner"], more["outer"] = fmt.Sprintf("%s:%d", host, inner), fmt.Sprintf("%s:%d", host, outer)
+		v, bad := props.Tables[program].Read(more, "")
+		if len(bad) > 0 {
+			t.Fatal(bad)
+		}
+		p, _ := props.Make(v)
+		return p
+	}
+	start := func(p interface{ Start() error }, err error) {
+		if err == nil {
+			err = p.Start()
+		}
+		if err != nil {
+			t.Skipf("no room on loopback: %v", err)
+		}
+	}
+	for i := range 3 {
+		h := fmt.Sprint(base, i+1)
+		e := quiet("s")
+		dir, err := disk.Open(t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.FS = dir
+		s, err := store.New(mk("store", fmt.Sprint("s", i), h, 7301, 7304, map[string]any{"seeds": seeds(7301), "data": "x"}), e)
+		start(s, err)
+		defer s.Kill()
+		r := registry.New(mk("registry", fmt.Sprint("r", i), h, 7302, 7303, map[string]any{"seeds": seeds(7302), "stores": seeds(7301)}), quiet("r"))
+		start(r, nil)
+		defer r.Kill()
+	}
+	var worker *stand.Worker
+	for i := range 2 {
+		h := fmt.Sprint(base, 10+i)
+		x := proxy.New(mk("proxy", fmt.Sprint("p", i), h, 7302, 7303, map[string]any{"seeds": seeds(7302), "traffic": h + ":7300"}), quiet("p"))
+		start(x, nil)
+		defer x.Kill()
+		if i == 1 {
+			w, err := stand.NewWorker(quiet("w"), "a", "w1", h+":7305", h+":7303", 64, stand.Way{}, nil)
+			start(nothing{}, err)
+			defer w.Kill()
+			worker = w
+		}
+	}
+	r := &Run{way: &http.Transport{DisableKeepAlives: true}}
+	doc := `{"services":[{"name":"a"}],"classes":[{"name":"c","share":100}],"paths":[{"name":"p","prefix":"/","service":"a","class":"c","left_ms":5000}]}`
+	if _, ok := r.Until(20*time.Second, func() bool {
+		r.Get("PUT", base+"10:7303", "/puffin/config?based_on=0", doc)
+		code, _ := r.Get("GET", base+"10:7303", "/puffin/ready", "")
+		_, own := r.Get("GET", base+"10:7303", "/puffin/own", "")
+		return code == 200 && own["entries"] == float64(1)
+	}); !ok {
+		t.Fatal("the small mesh did not come up")
+	}
+	way := &http.Transport{MaxIdleConnsPerHost: 16}
+	drive := func(url string, n int) (time.Duration, int) {
+		from := cpu()
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		good := 0
+		for range 8 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				for range n / 8 {
+					q, _ := http.NewRequest("GET", url, nil)
+					q.Header.Set(seal.Worker, worker.ID)
+					w, err := way.RoundTrip(q)
+					if err != nil {
+						continue
+					}
+					_, _ = io.Copy(io.Discard, w.Body)
+					_ = w.Body.Close()
+					mu.Lock()
+					if w.StatusCode == 200 {
+						good++
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+		wait.Wait()
+		return (cpu() - from) / time.Duration(n), good
+	}
+	const n = 4000
+	drive("http://"+base+"10:7300/x", n/4)
+	mesh, a := drive("http://"+base+"10:7300/x", n)
+	direct, b := drive("http://"+worker.Addr+"/x", n)
+	t.Logf("processor time for each job: %v through the mesh, %v direct, ratio %.2f", mesh, direct, float64(mesh)/float64(direct))
+	if a != n || b != n {
+		t.Errorf("%d and %d of %d calls were answered", a, b, n)
+	}
+	// A wide bound: it catches work that grows, not a slow machine.
+	if ratio := float64(mesh) / float64(direct); ratio > 25 {
+		t.Errorf("a job through the mesh costs %.1f times a direct call", ratio)
+	}
+}
+
+type nothing struct{}
+
+func (nothing) Start() error { return nil }
