--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -37,7 +37,7 @@
 		if d.IsDir() && (base == ".git" || base == "bin" || base == "run") {
 			return filepath.SkipDir
 		}
-		if d.IsDir() || base == "go.sum" {
+		if d.IsDir() || base == "go.sum" || strings.HasSuffix(base, ".test") {
 			return nil
 		}
 		raw, err := os.ReadFile(name)
@@ -99,6 +99,28 @@
 	}
 }
 
+// TestBadProps: a program that starts with bad props prints every fault and
+// ends with code 2.
+func TestBadProps(t *testing.T) {
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "./cmd/proxy")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	run := exec.Command(filepath.Join(dir, "proxy"), "--node", "n1", "--area", "a b", "--inner", "localhost:1", "--outer", "127.0.0.1:2",
+		"--traffic", "127.0.0.1:3", "--seeds", "127.0.0.1:4,127.0.0.1:5", "--change-ms", "soon")
+	out, err := run.CombinedOutput()
+	if err == nil || run.ProcessState.ExitCode() != 2 {
+		t.Errorf("ended with %d", run.ProcessState.ExitCode())
+	}
+	for _, want := range []string{"area", "inner", "seeds", "change_ms"} {
+		if !strings.Contains(string(out), "prop "+want+":") {
+			t.Errorf("%s is not named: %s", want, out)
+		}
+	}
+}
+
 // page compares a generated page with the one in docs.
 func page(t *testing.T, name, want string) {
 	t.Helper()
--- /dev/null
+++ b/internal/house/wire_test.go
@@ -0,0 +1,102 @@
+package house
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sort"
+	"strings"
+	"testing"
+
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/ormap"
+	"puffincrank/internal/paxos"
+	"puffincrank/internal/plumtree"
+	"puffincrank/internal/proxy"
+	"puffincrank/internal/registry"
+	"puffincrank/internal/session"
+	"puffincrank/internal/store"
+	"puffincrank/internal/wire"
+)
+
+// version names the fields of the wire and the files as they stand now. It
+// moves with each tag; the lists of earlier tags stay.
+const version = "v0.1.0"
+
+// fields lists the names and kinds by which a type travels or is stored.
+func fields(into map[string]bool, t reflect.Type) {
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice || t.Kind() == reflect.Map {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || t.PkgPath() == "time" {
+		return
+	}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		tag, _, _ := strings.Cut(f.Tag.Get("msgpack"), ",")
+		if tag == "" {
+			tag = f.Name
+		}
+		if !f.IsExported() || tag == "-" {
+			continue
+		}
+		line := fmt.Sprintf("%s %s %s", t, tag, f.Type)
+		if into[line] {
+			continue
+		}
+		into[line] = true
+		fields(into, f.Type)
+	}
+}
+
+// TestFields: every field that an earlier version sent or stored is still
+// there under its name and type, so that both can be mixed in a roll, both
+// ways. New fields are passed over by the old.
+func TestFields(t *testing.T) {
+	now := map[string]bool{}
+	all := append(store.Messages(), wire.Hello{}, session.Beat{}, session.Receipt{}, session.Push{}, session.Share{}, session.ShareBack{}, session.Outer{},
+		session.OuterBack{}, session.Report{}, session.Hand{}, session.Back{}, ormap.Delta{}, plumtree.Message{}, paxos.Entry{}, paxos.Identity{}, paxos.Checkpoint{},
+		ledger.State{}, ledger.Packed{}, proxy.Status{}, proxy.StatusAsk{}, proxy.DrainAsk{}, registry.Status{})
+	for name, c := range ledger.Kinds() {
+		now["command "+name+" "+reflect.TypeOf(c).Elem().Name()] = true
+		all = append(all, c)
+	}
+	for _, m := range all {
+		fields(now, reflect.TypeOf(m))
+	}
+	if len(now) < 200 {
+		t.Fatalf("only %d fields were found", len(now))
+	}
+	file := filepath.Join("testdata", "fields-"+version+".txt")
+	if *update {
+		var lines []string
+		for l := range now {
+			lines = append(lines, l)
+		}
+		sort.Strings(lines)
+		// Two files, so that none is over the house's length.
+		half := len(lines) / 2
+		_ = os.MkdirAll("testdata", 0o755)
+		for name, part := range map[string][]string{file: lines[:half], strings.TrimSuffix(file, ".txt") + "-2.txt": lines[half:]} {
+			if err := os.WriteFile(name, []byte(strings.Join(part, "\n")+"\n"), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	old, err := filepath.Glob("testdata/fields-*.txt")
+	if err != nil || len(old) == 0 {
+		t.Fatalf("no earlier version is on record: %v", err)
+	}
+	for _, name := range old {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
+			if !now[line] {
+				t.Errorf("%s: gone or changed: %s", name, line)
+			}
+		}
+	}
+}
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -121,3 +121,12 @@
 
 // Apply does nothing.
 func (*Noop) Apply(*State) Receipt { return Receipt{Code: OK} }
+
+// Kinds gives an empty command of each kind by name.
+func Kinds() map[string]Command {
+	out := map[string]Command{}
+	for n, f := range kinds {
+		out[n] = f()
+	}
+	return out
+}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -228,3 +228,13 @@
 		p.reset()
 	}
 }
+
+// Sum gives the bytes sent so far, between areas or within them.
+func (n *Net) Sum(away bool) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if away {
+		return n.Away
+	}
+	return n.Home
+}
--- /dev/null
+++ b/internal/sim/room_test.go
@@ -0,0 +1,236 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/stand"
+)
+
+// one is a fleet with one service and three classes.
+func one() Shape {
+	return Shape{Nodes: 3, Slots: 12, Far: time.Millisecond, Services: []string{"s"}, Took: map[string]time.Duration{"s": 100 * time.Millisecond},
+		Doc: `{"services":[{"name":"s"}],"classes":[{"name":"a","share":50},{"name":"b","share":30},{"name":"c","share":20}],
+"paths":[{"name":"pa","prefix":"/a","service":"s","class":"a","left_ms":600},{"name":"pb","prefix":"/b","service":"s","class":"b","left_ms":600},
+{"name":"pc","prefix":"/c","service":"s","class":"c","left_ms":600}]}`}
+}
+
+// TestRoom measures what share of the room each class has when it presses
+// alone, when two press and when all press; 36 slots of 100 ms do 360 a second.
+func TestRoom(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		press string
+		want  map[string][2]float64 // class to the bounds of its part of the runs
+	}{
+		{"a", map[string][2]float64{"a": {1, 1}}},
+		{"c", map[string][2]float64{"c": {1, 1}}},
+		{"ab", map[string][2]float64{"a": {0.5, 0.75}, "b": {0.25, 0.5}}},
+		{"abc", map[string][2]float64{"a": {0.4, 0.6}, "b": {0.2, 0.4}, "c": {0.1, 0.3}}},
+	} {
+		t.Run(c.press, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := one()
+				f := NewFleet(t, s, 110)
+				defer f.Stop()
+				f.Start()
+				var lines []stand.Line
+				for _, k := range c.press {
+					lines = append(lines, stand.Line{Method: "GET", URI: "/" + string(k), Service: "s", Rate: 600})
+				}
+				f.Load(lines, 10*time.Second)()
+				f.Judge()
+				served, all := map[string]float64{}, 0.0
+				for _, n := range f.Nodes {
+					_, own := f.Get(n.Host+":7003", "/puffin/own")
+					classes, _ := own["classes"].(map[string]any)
+					for _, w := range classes {
+						for k, u := range w.(map[string]any) {
+							n := u.(map[string]any)["served"].(float64)
+							served[k] += n
+							all += n
+						}
+					}
+				}
+				used := all * s.Took["s"].Seconds() / (36 * 10)
+				t.Logf("pressing %s: room used %.2f, parts a %.2f b %.2f c %.2f", c.press, used, served["a"]/all, served["b"]/all, served["c"]/all)
+				if used < 0.85 {
+					t.Errorf("only %.2f of the room was used under pressure", used)
+				}
+				for k, b := range c.want {
+					if p := served[k] / all; p < b[0] || p > b[1] {
+						t.Errorf("class %s has %.2f of the runs, want %v", k, p, b)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestSlowWorker: a worker that turns slow gets less, and its share again
+// when it is well.
+func TestSlowWorker(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := one()
+		f := NewFleet(t, s, 111)
+		defer f.Stop()
+		f.Start()
+		wait := f.Load([]stand.Line{{Method: "GET", URI: "/a", Service: "s", Rate: 120}}, 60*time.Second)
+		runs := func(long time.Duration) float64 {
+			mine, all := 0.0, 0.0
+			count := func(sign float64) {
+				for i, n := range f.Nodes {
+					_, own := f.Get(n.Host+":7003", "/puffin/own")
+					for _, w := range own["classes"].(map[string]any) {
+						k := w.(map[string]any)["a"].(map[string]any)["served"].(float64)
+						all += sign * k
+						if i == 0 {
+							mine += sign * k
+						}
+					}
+				}
+			}
+			count(-1)
+			Wait(long)
+			count(1)
+			return mine / all
+		}
+		before := runs(10 * time.Second)
+		f.Nodes[0].Worker.Behave(stand.Way{Took: 450 * time.Millisecond})
+		Wait(5 * time.Second)
+		sick := runs(10 * time.Second)
+		f.Nodes[0].Worker.Behave(stand.Way{Took: 100 * time.Millisecond})
+		Wait(15 * time.Second)
+		after := runs(10 * time.Second)
+		t.Logf("part of the jobs: %.2f before, %.2f while slow, %.2f when well again", before, sick, after)
+		if before < 0.25 || sick > 0.2 || after < 0.22 {
+			t.Error("fitness does not follow the worker")
+		}
+		wait()
+		f.Judge()
+	})
+}
+
+// TestChurn: over a long time of workers that come and go, tombstones stay
+// bounded, and a node that was cut off meanwhile raises no dead entry.
+func TestChurn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := one()
+		f := NewFleet(t, s, 112)
+		defer f.Stop()
+		f.Start()
+		most, moves := 0.0, 0
+		for round := range 150 {
+			n := f.Nodes[1+round%2]
+			n.Worker.Leave("gone")
+			f.KillWorker(n)
+			f.StartWorker(n, "s")
+			moves++
+			// The third node is away for longer than a replica may merge after.
+			if round == 60 {
+				f.Net.Isolate(f.Nodes[0].Host, true)
+			}
+			if round == 80 {
+				f.Net.Isolate(f.Nodes[0].Host, false)
+			}
+			Wait(2 * time.Second)
+			_, own := f.Get(f.Nodes[1].Host+":7003", "/puffin/own")
+			dead, _ := own["tombstones"].(float64)
+			most = max(most, dead)
+		}
+		f.Until(20*time.Second, "all replicas are equal", f.equal)
+		f.Until(20*time.Second, "only the live are known", f.Whole)
+		t.Logf("%d replacements in 5 minutes, at most %.0f tombstones", moves, most)
+		// Kept for six times the retire bound of 10 s: about 30 replacements,
+		// each with an entry for up, and one or two for leaving.
+		if most > 130 {
+			t.Errorf("%.0f tombstones", most)
+		}
+	})
+}
+
+// TestManyRoutes: growing to several hundred paths costs a push and a start
+// little more than the document's own bytes.
+func TestManyRoutes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := one()
+		f := NewFleet(t, s, 113)
+		defer f.Stop()
+		f.Start()
+		grow := func(n int) string {
+			var more []string
+			for i := range n {
+				more = append(more, fmt.Sprintf(`{"name":"x%d","prefix":"/x%d","service":"s","class":"a"}`, i, i))
+			}
+			return strings.Replace(s.Doc, `"paths":[`, `"paths":[`+strings.Join(more, ",")+",", 1)
+		}
+		push := func(base uint64, doc string) (time.Duration, int64) {
+			h0, a0 := f.Net.Sum(false), f.Net.Sum(true)
+			code, v := f.Apply(f.Nodes[0].Host+":7003", base, doc)
+			if code != 200 {
+				t.Fatalf("apply answered %d", code)
+			}
+			took := f.Until(2*time.Second, "all hold it", func() bool {
+				for _, n := range f.Nodes {
+					if _, own := f.Get(n.Host+":7003", "/puffin/own"); own["config_version"] != float64(v) {
+						return false
+					}
+				}
+				return true
+			})
+			return took, f.Net.Sum(false) + f.Net.Sum(true) - h0 - a0
+		}
+		small, few := push(1, grow(1))
+		doc := grow(600)
+		large, many := push(2, doc)
+		t.Logf("push of %d bytes: last node after %v and %d bytes in all; of %d bytes: %v and %d", len(grow(1)), small, few, len(doc), large, many)
+		// Three stores, three registries and three proxies, once by push.
+		if per := float64(many-few) / float64(len(doc)); per > 16 {
+			t.Errorf("a push sends the document %.1f times", per)
+		}
+		if large > 4*max(small, 50*time.Millisecond) {
+			t.Errorf("a push of 600 paths takes %v, of one %v", large, small)
+		}
+		n := f.Nodes[1]
+		f.KillNode(n)
+		f.StartProxy(n)
+		t.Logf("a start takes %v", f.Until(3*time.Second, "the node is ready", n.Proxy.Ready))
+	})
+}
+
+// TestNotReadyAlone: a node that starts while no majority can confirm the
+// configuration is not ready and takes no job, and one that runs goes on.
+func TestNotReadyAlone(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := one()
+		f := NewFleet(t, s, 114)
+		defer f.Stop()
+		f.Start()
+		f.KillCore(f.Cores[0], false)
+		f.KillCore(f.Cores[1], false)
+		Wait(3 * time.Second)
+		n := f.Nodes[0]
+		f.KillNode(n)
+		f.StartProxy(n)
+		Wait(5 * time.Second)
+		if code, _ := f.Get(n.Host+":7003", "/puffin/ready"); code != 503 {
+			t.Errorf("a starting node without a majority answers %d", code)
+		}
+		if code, _ := f.Get(n.Host+":8000", "/a"); code != 503 {
+			t.Errorf("it takes a job: %d", code)
+		}
+		if code, _ := f.Get(f.Nodes[1].Host+":8000", "/a"); code != 200 {
+			t.Errorf("a running node without a majority answers %d", code)
+		}
+		f.BackCore(f.Cores[0])
+		f.Until(15*time.Second, "it is ready", n.Proxy.Ready)
+	})
+}
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -143,3 +143,10 @@
 	Members []ledger.Member `msgpack:"members" json:"members"`
 	Events  []event.Entry   `msgpack:"events" json:"-"`
 }
+
+// Messages lists every message of this package, for the check that a later
+// version still speaks all that the last one did.
+func Messages() []any {
+	return []any{ballotAsk{}, ballotVote{}, acceptAsk{}, beatAsk{}, ack{}, fetchAsk{}, fetchGot{}, foundAsk{}, foundGot{},
+		genesis{}, joinAsk{}, joinGot{}, vacateAsk{}, Offer{}, Given{}, Query{}, DutyAsk{}, DutyVote{}, Status{}}
+}
