--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -20,10 +20,11 @@
 
 type args struct {
 	Shape string  `arg:"--shape" default:"fumettoteca" help:"fumettoteca or ingenzi"`
-	Plan  string  `arg:"--plan" default:"calm" help:"calm, kills, trials or day"`
+	Plan  string  `arg:"--plan" default:"calm" help:"calm, kills, trials, versions or day"`
 	For   string  `arg:"--for" default:"60s" help:"how long the load runs, 10m at the most"`
 	Scale float64 `arg:"--scale" default:"1" help:"part of the deployment's rates, 1 at the most"`
 	Bin   string  `arg:"--bin" default:"bin" help:"where the programs are"`
+	Old   string  `arg:"--old" help:"programs of an earlier version that the run begins with, for plan versions"`
 	Dir   string  `arg:"--dir" default:"run" help:"where props, logs and data go; made anew"`
 	Stay  bool    `arg:"--stay" help:"bring the fleet up, print its addresses and stay until interrupted"`
 }
@@ -54,6 +55,7 @@
 	}
 	r, err := fleetrun.New(a.Bin, a.Dir, shape, os.Stdout)
 	if err == nil {
+		r.Old = a.Old
 		err = r.Up()
 	}
 	if err != nil {
--- a/internal/fleetrun/machines.go
+++ b/internal/fleetrun/machines.go
@@ -34,6 +34,7 @@
 	over                      chan struct{}
 	cpu                       time.Duration
 	code                      int
+	newer                     bool // runs this version though the run began with an earlier one
 }
 
 // Node is a machine with a worker.
@@ -54,6 +55,7 @@
 // Run is one whole run.
 type Run struct {
 	Bin, Dir string
+	Old      string // programs of an earlier version, to begin with
 	S        sim.Shape
 	Obs      *stand.Observer
 	Cores    []*Core
@@ -128,7 +130,11 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(filepath.Join(p.run.Bin, p.Program), "--props", p.props)
+	bin := p.run.Bin
+	if p.run.Old != "" && !p.newer {
+		bin = p.run.Old
+	}
+	cmd := exec.Command(filepath.Join(bin, p.Program), "--props", p.props)
 	cmd.Stderr, cmd.Stdout = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/internal/fleetrun/plan.go
+++ b/internal/fleetrun/plan.go
@@ -42,6 +42,15 @@
 		}},
 		{0.68, "propose a slow change", func(r *Run) { r.try("held-back", stand.Way{Took: 4}, func() {}) }},
 	},
+	// Every process is rolled from an earlier version to this one, then half
+	// of them back; run with --old.
+	"versions": {
+		{0.05, "roll the first core machine and half of the nodes to this version", func(r *Run) { r.move(true, 0, 1, 0, len(r.Nodes)/2) }},
+		{0.35, "a change while versions are mixed", func(r *Run) { r.change() }},
+		{0.40, "roll the rest to this version", func(r *Run) { r.move(true, 1, 3, len(r.Nodes)/2, len(r.Nodes)) }},
+		{0.75, "roll one core machine and some nodes back", func(r *Run) { r.move(false, 2, 3, 0, 3) }},
+		{0.92, "a change while versions are mixed again", func(r *Run) { r.change() }},
+	},
 	// A day with one fault after another, and one more at its end.
 	"day": {
 		{0.04, "garbling and losing workers", func(r *Run) { r.sick(stand.Way{Garble: 0.3, Lose: 0.3}) }},
@@ -157,3 +166,23 @@
 	v, _ := got["version"].(float64)
 	r.Mark("  version %d applied: %v", int(v)+1, r.Apply(r.Nodes[7%len(r.Nodes)].Host+":7003", uint64(v), r.S.Doc))
 }
+
+// move rolls some core machines and nodes to this version or back, politely.
+func (r *Run) move(newer bool, coreFrom, coreTo, from, to int) {
+	for _, c := range r.Cores[coreFrom:coreTo] {
+		for _, p := range []*Proc{c.Registry, c.Store} {
+			p.newer = newer
+			r.bounce(p, syscall.SIGTERM, 0)
+		}
+		pause(2 * time.Second)
+	}
+	for i := from; i < to; i++ {
+		n := r.Nodes[i]
+		n.Proxy.newer = newer
+		r.bounce(n.Proxy, syscall.SIGTERM, 0)
+		r.Until(10*time.Second, func() bool {
+			code, _ := r.Get("GET", n.Host+":7003", "/puffin/ready", "")
+			return code == 200
+		})
+	}
+}
