--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -173,3 +173,7 @@
 	}
 	return x.status(), nil
 }
+
+// Sizes gives the bytes that this process sent to others, by kind of message;
+// receipts count with what they answer.
+func (x *Proxy) Sizes() map[wire.Flow]wire.Sum { return x.n.Sizes() }
--- a/internal/registry/status.go
+++ b/internal/registry/status.go
@@ -200,3 +200,7 @@
 	defer r.mu.Unlock()
 	return r.trials
 }
+
+// Sizes gives the bytes that this process sent to others, by kind of message;
+// receipts count with what they answer.
+func (r *Registry) Sizes() map[wire.Flow]wire.Sum { return r.n.Sizes() }
--- a/internal/store/ready.go
+++ b/internal/store/ready.go
@@ -53,3 +53,7 @@
 	})
 	return outer.Serve(s.g, s.e, s.P.Outer, r, s.P.Change)
 }
+
+// Sizes gives the bytes that this process sent to others, by kind of message;
+// receipts count with what they answer.
+func (s *Store) Sizes() map[wire.Flow]wire.Sum { return s.n.Sizes() }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -87,7 +87,7 @@
 	if f.ID == 0 {
 		return
 	}
-	r := frame{ID: f.ID}
+	r := frame{ID: f.ID, of: f.Kind}
 	if err == nil {
 		var body []byte
 		if body, err = pack(out); err == nil {
@@ -111,9 +111,6 @@
 }
 
 func (n *Node) count(kind, area string, size int) {
-	if kind == "" {
-		kind = "receipt"
-	}
 	k := Flow{Kind: kind, Away: area != n.Self.Area}
 	n.mu.Lock()
 	s := n.sizes[k]
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -39,6 +39,7 @@
 	Bad  string             `msgpack:"e,omitempty"`
 	Say  string             `msgpack:"s,omitempty"`
 	Body msgpack.RawMessage `msgpack:"b,omitempty"`
+	of   string             // what a receipt answers, for the counts
 }
 
 func pack(v any) ([]byte, error) {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -65,7 +65,7 @@
 				l.fail(f)
 				continue
 			}
-			l.n.count(f.Kind, l.far.Area, size)
+			l.n.count(f.Kind+f.of, l.far.Area, size)
 			// Flush only when nothing more waits: many frames, one write.
 			if err == nil && len(l.out) == 0 {
 				err = w.Flush()
