Founding by the least seed in any order; voters give what is above both replicas' slots

Cause, by reading: two stores with their seeds in different orders could each take itself for the first; and a voter far behind could cut off the entries that a candidate needs. The fleets under virtual time now give each store its seeds in another order.

--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -122,7 +122,14 @@
 func (f *Fleet) StartStore(c *Core) {
 	e := f.env("store-"+c.Host, c.Host, c.Area, &c.skew)
 	e.FS = c.Disk
-	s, err := store.New(f.props("store", "store-"+c.Host, c.Area, c.Host, 7001, 7004, map[string]any{"seeds": f.seeds(7001), "data": "x"}), e)
+	// Each store has the seeds in another order.
+	seeds := f.seeds(7001)
+	for i, o := range f.Cores[:3] {
+		if o == c {
+			seeds = append(seeds[i:], seeds[:i]...)
+		}
+	}
+	s, err := store.New(f.props("store", "store-"+c.Host, c.Area, c.Host, 7001, 7004, map[string]any{"seeds": seeds, "data": "x"}), e)
 	if err == nil {
 		err = s.Start()
 	}
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"slices"
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
@@ -113,21 +114,13 @@
 		return
 	}
 	// Only when all three seeds are reachable and empty is a mesh founded, and
-	// only by the first of them, so that there is never a second founding.
-	if bare == 3 && len(s.P.Seeds) == 3 && s.P.Seeds[0] == s.P.Inner && s.isSeed() {
+	// only by the least of them, in whatever order each has them, so that
+	// there is never a second founding.
+	if bare == 3 && len(s.P.Seeds) == 3 && slices.Min(s.P.Seeds) == s.P.Inner {
 		s.found(ctx, all)
 	}
 }
 
-func (s *Store) isSeed() bool {
-	for _, a := range s.P.Seeds {
-		if a == s.P.Inner {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Store) found(ctx context.Context, all []ledger.Member) {
 	in := genesis{Mesh: s.P.Mesh + "/" + fresh(), Members: all}
 	if s.begin(in) != nil {
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -13,6 +13,7 @@
 	Num  ballot.Number `msgpack:"n"`
 	ID   string        `msgpack:"i"`
 	Real bool          `msgpack:"r"` // false only asks whether the duty is vacant
+	Slot uint64        `msgpack:"s"` // what the asker has applied
 }
 
 type ballotVote struct {
--- a/internal/store/stand.go
+++ b/internal/store/stand.go
@@ -56,7 +56,9 @@
 	ctx, end := context.WithTimeout(ctx, s.P.Lease()/2)
 	defer end()
 	who, need := s.fellows()
-	ask := ballotAsk{Num: num, ID: s.acc.Me().ID, Real: real}
+	s.mu.Lock()
+	ask := ballotAsk{Num: num, ID: s.acc.Me().ID, Real: real, Slot: s.slot}
+	s.mu.Unlock()
 	var yes []ballotVote
 	var from []string
 	out := 0
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -57,7 +57,9 @@
 		if in.ID != s.acc.Me().ID {
 			s.depose("another was promised a higher ballot")
 		}
-		v.Entries = s.acc.After(v.Slot, 256)
+		// What both have applied needs no word; the rest is few, since a slot is
+		// proposed only when the one before it is chosen.
+		v.Entries = s.acc.After(max(v.Slot, in.Slot), 256)
 	}
 	return v, nil
 }
