Foreign data and unsafe removals refused by name; a job is matched anew when rules differ

A store with the data of a mesh founded apart was made empty as an outcast; now it is refused and left as it is.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -74,6 +74,9 @@
 	Node string `arg:"positional,required" help:"the node whose workers are drained"`
 	Undo bool   `arg:"--undo" help:"let them take jobs again"`
 }
+type removeCmd struct {
+	ID string `arg:"positional,required" help:"the replica id, see status --json"`
+}
 type eventsCmd struct {
 	Node string `arg:"--node" help:"only of this node"`
 	Name string `arg:"--name" help:"only of this name or number"`
@@ -98,6 +101,7 @@
 	Propose  *proposeCmd `arg:"subcommand:propose" help:"try a change of one path on a slice of its jobs"`
 	Trials   *trialsCmd  `arg:"subcommand:trials" help:"list, show, watch or abort trials"`
 	Drain    *drainCmd   `arg:"subcommand:drain" help:"drain a node's workers, or undo it"`
+	Remove   *removeCmd  `arg:"subcommand:remove-store" help:"take a store out of the core, by its replica id"`
 	Lock     *lockCmd    `arg:"subcommand:lock" help:"locks of applications"`
 	Number   *numberCmd  `arg:"subcommand:number" help:"rising numbers of applications"`
 	Key      *keyCmd     `arg:"subcommand:key" help:"small keys of applications"`
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -51,6 +51,8 @@
 			uri += "?undo=true"
 		}
 		return m.show(http.MethodPost, uri, []byte("{}"), nil)
+	case a.Remove != nil:
+		return m.show(http.MethodDelete, "/puffin/stores/"+url.PathEscape(a.Remove.ID), nil, nil)
 	case a.Lock != nil:
 		return m.lock()
 	case a.Number != nil:
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -41,7 +41,11 @@
 	fmt.Fprintf(m.out, "members %d: %d proxies, %d registries; stores %d\n", len(f.Members), len(f.Proxies), len(f.Registries), len(f.Stores))
 	fmt.Fprintf(m.out, "writer %s, judge %s, steward %s\n", or(f.Duties["writer"]), or(f.Duties["judge"]), or(f.Duties["steward"]))
 	fmt.Fprintf(m.out, "jobs %d: done %d, busy %d, unknown %d\n", jobs, done, busy, unknown)
-	fmt.Fprintf(m.out, "registry replicas: %d different\n", len(digests))
+	if len(digests) == 1 {
+		fmt.Fprintln(m.out, "registry replicas are all equal")
+	} else {
+		fmt.Fprintf(m.out, "registry replicas are in %d states\n", len(digests))
+	}
 	var rows [][]string
 	for _, s := range f.Stores {
 		rows = append(rows, []string{s.Node, s.Area, s.Role, fmt.Sprint(s.Slot), fmt.Sprint(s.Config), yes(s.Ready), s.Why})
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -22,6 +22,7 @@
 	Refilled     = Kind{309, "refilled", "a store or replica was refilled from a fellow", false}
 	Replaced     = Kind{310, "replaced", "a store took the place of another", false}
 	Foreign      = Kind{311, "foreign", "data of another mesh or a newer version was refused", true}
+	Unsafe       = Kind{312, "unsafe-removal", "a removal that would leave the core without a majority was refused", true}
 	Won          = Kind{401, "duty-won", "this node won a duty", false}
 	Lost         = Kind{402, "duty-lost", "this node lost or gave up a duty", true}
 	SessionUp    = Kind{403, "session-up", "a session with a control node stands", false}
@@ -51,7 +52,7 @@
 
 // Catalogue lists every kind in order.
 var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, BadLink, Unspoken,
-	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign,
+	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch,
 	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining,
 	Garbled, Unfit, Fit, BeatBad, Twice,
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -51,6 +51,7 @@
 	"lock.expire":   func() Command { return &ExpireLock{} },
 	"duty.fence":    func() Command { return &FenceDuty{} },
 	"store.replace": func() Command { return &ReplaceStore{} },
+	"store.remove":  func() Command { return &RemoveStore{} },
 	"trial.propose": func() Command { return &Propose{} },
 	"trial.decide":  func() Command { return &Decide{} },
 }
--- a/internal/ledger/coord.go
+++ b/internal/ledger/coord.go
@@ -151,26 +151,3 @@
 	s.Duties[duty] = n
 	return Receipt{Code: OK}
 }
-
-// ReplaceStore puts a joiner in place of a member.
-type ReplaceStore struct {
-	Old string `msgpack:"o"`
-	New Member `msgpack:"n"`
-}
-
-// Apply swaps the member.
-func (c *ReplaceStore) Apply(s *State) Receipt {
-	for _, m := range s.Members {
-		if m.ID == c.New.ID {
-			return Receipt{Code: Conflict, Say: "is a member already"}
-		}
-	}
-	for i, m := range s.Members {
-		if m.ID == c.Old {
-			s.Members = append([]Member(nil), s.Members...)
-			s.Members[i] = c.New
-			return Receipt{Code: OK}
-		}
-	}
-	return Receipt{Code: Absent, Say: "no such member"}
-}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -60,6 +60,12 @@
 	return false
 }
 
+// differ refuses a job whose front holds another configuration.
+func (v *visit) differ(why string) bool {
+	v.back = session.Back{Kind: session.Refused, Why: why, Rules: true}
+	return false
+}
+
 func (v *visit) unknown(why string) bool {
 	v.back = session.Back{Kind: session.Unknown, Why: why, Late: !time.Now().Before(v.end)}
 	return false
@@ -94,14 +100,14 @@
 		case x.touch.kick <- struct{}{}:
 		default:
 		}
-		return v.refuse("owner's configuration is older than the job's")
+		return v.differ("owner's configuration is older than the job's")
 	}
 	p := r.Match(v.in.Method, urlPath(v.in.URI))
 	if p == nil || (p.Base.Service != v.in.Service && (p.Trial == 0 || p.New.Service != v.in.Service)) {
-		return v.refuse("a newer configuration doesn't send this job here")
+		return v.differ("a newer configuration doesn't send this job here")
 	}
 	if _, ok := r.Shares[v.in.Class]; !ok {
-		return v.refuse("a newer configuration has no such class")
+		return v.differ("a newer configuration has no such class")
 	}
 	return true
 }
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -142,6 +142,9 @@
 	case session.Refused:
 		// Certain that it did not run: another may have it.
 		j.why = j.back.Why
+		if j.back.Rules && more {
+			x.rematch(ctx, j)
+		}
 		if more {
 			return back
 		}
@@ -157,3 +160,25 @@
 	}
 	return stop
 }
+
+// rematch pins a job to the newest rules after an owner refused it for its
+// old ones: a change that passes by must not cost a caller an error.
+func (x *Proxy) rematch(ctx context.Context, j *job) {
+	for range 4 {
+		r := x.rules.Load()
+		if r.Version != j.rules.Version {
+			if p := r.Match(j.req.Method, j.req.URL.EscapedPath()); p != nil {
+				j.rules, j.path, j.arm = r, p, p.Arm(j.id)
+				j.tried = map[string]bool{}
+			}
+			return
+		}
+		select {
+		case x.touch.kick <- struct{}{}:
+		default:
+		}
+		pause(ctx, x.P.Beat()/8)
+	}
+	// The owner was the one behind: it has had the time to catch up.
+	delete(j.tried, j.entry.Worker)
+}
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -36,6 +36,7 @@
 	m.Post("/puffin/trials", r.propose)
 	m.Post("/puffin/trials/{id}/abort", r.abort)
 	m.Post("/puffin/nodes/{node}/drain", r.drain)
+	m.Delete("/puffin/stores/{id}", r.removeStore)
 	m.Get("/puffin/locks", r.getLocks)
 	m.Get("/puffin/locks/{name}", r.getLock)
 	m.Post("/puffin/locks/{name}/{op}", r.postLock)
--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"puffincrank/internal/fault"
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/store"
@@ -143,3 +146,16 @@
 	}
 	return ledger.Receipt{}, fault.Wrap(fault.Refused, last, "watch")
 }
+
+// removeStore takes a store out of the core, if those who stay can decide.
+func (r *Registry) removeStore(w http.ResponseWriter, req *http.Request) {
+	ctx, end := r.timed(req)
+	defer end()
+	id := chi.URLParam(req, "id")
+	got, err := r.stores.ask(ctx, "store.remove", store.RemoveAsk{ID: id}, false)
+	if err != nil {
+		failed(w, err)
+		return
+	}
+	answer(w, got, map[string]any{"store": id})
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -114,6 +114,7 @@
 	Kind   string              `msgpack:"k"`
 	Why    string              `msgpack:"y,omitempty"`
 	Late   bool                `msgpack:"l,omitempty"` // unknown for want of time
+	Rules  bool                `msgpack:"r,omitempty"` // refused since front and owner hold different configurations
 	Status int                 `msgpack:"s,omitempty"`
 	Head   map[string][]string `msgpack:"h,omitempty"`
 	Body   []byte              `msgpack:"b,omitempty"`
--- a/internal/sim/shapes.go
+++ b/internal/sim/shapes.go
@@ -13,7 +13,12 @@
 	one := s.Services[0]
 	alt := one + "2"
 	s.Services = append(append([]string(nil), s.Services...), alt)
-	s.Took[alt] = s.Took[one]
+	took := map[string]time.Duration{alt: s.Took[one]}
+	for n, d := range s.Took {
+		took[n] = d
+	}
+	s.Took = took
+	s.Lines = append([]stand.Line(nil), s.Lines...)
 	s.Doc = strings.Replace(s.Doc, `{"name":"`+one+`"}`, `{"name":"`+one+`"},{"name":"`+alt+`"},{"name":"nobody"}`, 1)
 	s.Doc = strings.TrimSuffix(s.Doc, "}") + `,"judge":{"slice":20,"least_jobs":100,"least_ms":4000,"most_ms":60000}}`
 	for i := range s.Lines {
--- a/internal/sim/trial_test.go
+++ b/internal/sim/trial_test.go
@@ -17,37 +17,52 @@
 // a proxy is rolled; no decision is lost or made twice.
 func TestTrials(t *testing.T) {
 	t.Parallel()
+	page, book := Fumettoteca(0.5), Ingenzi(0.5)
 	for i, c := range []struct {
-		name, change, want string
-		way                stand.Way
+		name, to, want string
+		shape          Shape
+		slow           float64
+		fail           float64
 	}{
-		{"good", `{"path":"read","service":"pages2"}`, "promoted", stand.Way{Took: 18 * time.Millisecond}},
-		{"failing", `{"path":"read","service":"pages2"}`, "held-back", stand.Way{Took: 20 * time.Millisecond, Fail: 0.2}},
-		{"slow", `{"path":"read","service":"pages2"}`, "held-back", stand.Way{Took: 80 * time.Millisecond}},
-		{"refusing", `{"path":"read","service":"nobody"}`, "held-back", stand.Way{Took: 20 * time.Millisecond}},
+		{"good pages", "2", "promoted", page, 0.9, 0},
+		{"failing pages", "2", "held-back", page, 1, 0.2},
+		{"slow pages", "2", "held-back", page, 4, 0},
+		{"refusing pages", "nobody", "held-back", page, 1, 0},
+		{"good bookings", "2", "promoted", book, 0.9, 0},
+		{"failing bookings", "2", "held-back", book, 1, 0.2},
+		{"slow bookings", "2", "held-back", book, 4, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				s := rehearsal()
+				s := WithAlt(c.shape)
+				one := s.Services[0]
+				alt := one + "2"
+				way := stand.Way{Took: time.Duration(float64(s.Took[one]) * c.slow), Fail: c.fail}
+				path := map[string]string{"pages": "read", "bookings": "search"}[one]
+				to := alt
+				if c.to == "nobody" {
+					to = "nobody"
+				}
+				change := fmt.Sprintf(`{"path":%q,"service":%q}`, path, to)
 				f := NewFleet(t, s, uint64(i)+60)
 				defer f.Stop()
 				f.Start()
 				f.Polled = true
 				for j, n := range f.Nodes {
-					if s.Serves(j) == "pages2" {
-						n.Worker.Behave(c.way)
+					if s.Serves(j) == alt {
+						n.Worker.Behave(way)
 					}
 				}
 				wait := f.Load(s.Lines, 30*time.Second)
 				Wait(2 * time.Second)
 				at := f.Nodes[1].Host + ":7003"
-				code, got := f.Ask("POST", at, "/puffin/trials?based_on=1&who=tester", c.change)
+				code, got := f.Ask("POST", at, "/puffin/trials?based_on=1&who=tester", change)
 				if code != 200 {
 					t.Fatalf("propose: %d %v", code, got)
 				}
 				f.Obs.Acked(2)
-				if code, got := f.Ask("POST", at, "/puffin/trials?based_on=2", c.change); code != 409 {
+				if code, got := f.Ask("POST", at, "/puffin/trials?based_on=2", change); code != 409 {
 					t.Errorf("a second trial on the same path: %d %v", code, got)
 				}
 				Wait(2 * time.Second)
@@ -73,7 +88,7 @@
 				}
 				_, conf := f.Get(at, "/puffin/config")
 				doc := fmt.Sprint(conf["document"])
-				if conf["version"] != float64(3) || strings.Contains(doc, "trial") || strings.Contains(doc, "service:"+"pages2 tries") != (c.want == "promoted") {
+				if conf["version"] != float64(3) || strings.Contains(doc, "trial") || strings.Contains(doc, "service:"+alt+" tries") != (c.want == "promoted") {
 					t.Errorf("after the trial version %v stands: %v", conf["version"], doc)
 				}
 				wait()
--- a/internal/store/confirm.go
+++ b/internal/store/confirm.go
@@ -105,7 +105,7 @@
 	s := t.s
 	from := time.Now()
 	s.mu.Lock()
-	ask := beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum}
+	ask := beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.led.Mesh}
 	s.mu.Unlock()
 	who, need := s.fellows()
 	yes, higher := 0, 0
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -196,7 +196,8 @@
 	if old == "" {
 		old = t.missing(members, s.P.Replace)
 	}
-	if old == "" {
+	// With a place free since a removal nobody has to go.
+	if old == "" && len(members) >= 3 {
 		return joinGot{Say: "no member is out of touch for long enough"}, nil
 	}
 	p, err := ledger.Pack("store.replace", &ledger.ReplaceStore{Old: old, New: ledger.Member{ID: in.ID, Addr: in.Addr}})
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -14,6 +14,7 @@
 	ID   string        `msgpack:"i"`
 	Real bool          `msgpack:"r"` // false only asks whether the duty is vacant
 	Slot uint64        `msgpack:"s"` // what the asker has applied
+	Mesh string        `msgpack:"m"`
 }
 
 type ballotVote struct {
@@ -30,6 +31,7 @@
 	Addr  string      `msgpack:"a"`
 	Slot  uint64      `msgpack:"s"` // chosen up to here
 	Sum   []byte      `msgpack:"h"`
+	Mesh  string      `msgpack:"m"`
 }
 
 type beatAsk struct {
@@ -37,6 +39,7 @@
 	Addr string        `msgpack:"a"`
 	Slot uint64        `msgpack:"s"`
 	Sum  []byte        `msgpack:"h"`
+	Mesh string        `msgpack:"m"`
 }
 
 type ack struct {
@@ -89,6 +92,11 @@
 	Done bool   `msgpack:"d"`
 }
 
+// RemoveAsk is an operator's word to take a store out.
+type RemoveAsk struct {
+	ID string `msgpack:"i"`
+}
+
 type vacateAsk struct {
 	Num ballot.Number `msgpack:"n"`
 }
@@ -149,5 +157,5 @@
 // version still speaks all that the last one did.
 func Messages() []any {
 	return []any{ballotAsk{}, ballotVote{}, acceptAsk{}, beatAsk{}, ack{}, fetchAsk{}, fetchGot{}, foundAsk{}, foundGot{},
-		genesis{}, joinAsk{}, joinGot{}, vacateAsk{}, Offer{}, Given{}, Query{}, DutyAsk{}, DutyVote{}, Status{}}
+		genesis{}, RemoveAsk{}, joinAsk{}, joinGot{}, vacateAsk{}, Offer{}, Given{}, Query{}, DutyAsk{}, DutyVote{}, Status{}}
 }
--- a/internal/store/stand.go
+++ b/internal/store/stand.go
@@ -57,7 +57,7 @@
 	defer end()
 	who, need := s.fellows()
 	s.mu.Lock()
-	ask := ballotAsk{Num: num, ID: s.acc.Me().ID, Real: real, Slot: s.slot}
+	ask := ballotAsk{Num: num, ID: s.acc.Me().ID, Real: real, Slot: s.slot, Mesh: s.led.Mesh}
 	s.mu.Unlock()
 	var yes []ballotVote
 	var from []string
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,21 +31,22 @@
 	vote *ballot.Voter
 	role *state.Machine
 
-	learn task.Lock // one at a time extends the applied state
-	mu    sync.Mutex
-	led   *ledger.State
-	slot  uint64
-	sum   []byte
-	turn  chan struct{} // closed at each applied version
-	num   ballot.Number // our ballot while we stand or write
-	head  string        // the inner address of the writer, as last heard
-	seen  uint64        // the highest round seen anywhere
-	term  *term         // set while we write
-	tired time.Time     // until when we leave the duty to others
-	ill   bool          // the disk refuses or is slow
-	shut  bool
-	again bool // stand at once: a member holds a higher promise than ours
-	duty  map[string]*ballot.Voter
+	learn  task.Lock // one at a time extends the applied state
+	mu     sync.Mutex
+	led    *ledger.State
+	slot   uint64
+	sum    []byte
+	turn   chan struct{} // closed at each applied version
+	num    ballot.Number // our ballot while we stand or write
+	head   string        // the inner address of the writer, as last heard
+	seen   uint64        // the highest round seen anywhere
+	term   *term         // set while we write
+	tired  time.Time     // until when we leave the duty to others
+	ill    bool          // the disk refuses or is slow
+	shut   bool
+	warned time.Time // when a foreign mesh was last named
+	again  bool      // stand at once: a member holds a higher promise than ours
+	duty   map[string]*ballot.Voter
 	// Blind makes this store answer reads without a majority. It is there so
 	// that tests can show that their checkers catch it.
 	Blind bool
--- a/internal/store/term.go
+++ b/internal/store/term.go
@@ -162,7 +162,7 @@
 // the old ones, or when the own disk holds everybody up.
 func (t *term) still(cmds ledger.Batch) bool {
 	for _, c := range cmds {
-		if c.Kind == "store.replace" {
+		if c.Kind == "store.replace" || c.Kind == "store.remove" {
 			t.s.vote.Vacate(t.num)
 			t.s.depose("the members changed")
 			return false
@@ -184,7 +184,7 @@
 func (t *term) decide(ctx context.Context, raw []byte) ([]ledger.Receipt, error) {
 	s := t.s
 	e := paxos.Entry{Slot: s.slot + 1, Prev: s.sum, Batch: raw, Num: t.num}
-	ask := acceptAsk{Entry: e, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum}
+	ask := acceptAsk{Entry: e, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.led.Mesh}
 	who, need := s.fellows()
 	got := map[string]bool{}
 	from := time.Now()
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -23,6 +23,20 @@
 	wire.On(s.n, "store.watch", s.onWatch)
 	wire.On(s.n, "store.duty", s.onDuty)
 	wire.On(s.n, "store.status", s.onStatus)
+	wire.On(s.n, "store.remove", s.onRemove)
+}
+
+// foreign tells that a message is of a mesh that was founded apart from ours,
+// though it has our mesh's name: nothing of it is heeded. mu is held.
+func (s *Store) foreign(mesh string, who string) bool {
+	if mesh == "" || s.led == nil || mesh == s.led.Mesh {
+		return false
+	}
+	if time.Since(s.warned) > s.P.Return {
+		s.warned = time.Now()
+		s.e.Log.Emit(event.Foreign, "mesh", mesh, "own", s.led.Mesh, "from", who)
+	}
+	return true
 }
 
 // mending tells that a damaged version has not been mended: until then this
@@ -32,7 +46,7 @@
 func (s *Store) onBallot(_ context.Context, _ wire.Hello, in ballotAsk) (ballotVote, error) {
 	s.mu.Lock()
 	v := ballotVote{ID: s.acc.Me().ID, Slot: s.slot}
-	able := s.led != nil && !s.role.Is("empty") && !s.mending()
+	able := s.led != nil && !s.role.Is("empty") && !s.mending() && !s.foreign(in.Mesh, in.ID)
 	v.Out = able && !s.isMember(in.ID)
 	s.mu.Unlock()
 	vow, quiet := s.vote.Vow()
@@ -67,7 +81,7 @@
 func (s *Store) onAccept(ctx context.Context, _ wire.Hello, in acceptAsk) (ack, error) {
 	s.mu.Lock()
 	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.ill}
-	able := s.led != nil && !s.role.Is("empty") && in.Entry.Slot > s.slot
+	able := s.led != nil && !s.role.Is("empty") && in.Entry.Slot > s.slot && !s.foreign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		return a, nil
@@ -100,7 +114,7 @@
 func (s *Store) onBeat(_ context.Context, _ wire.Hello, in beatAsk) (ack, error) {
 	s.mu.Lock()
 	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.ill}
-	able := s.led != nil && !s.role.Is("empty")
+	able := s.led != nil && !s.role.Is("empty") && !s.foreign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		return a, nil
