A planned roll of the whole fleet is seen by no application either

Cause: a leaving registry turned outside calls away before the platform's poll could see it, and a writer that handed its duty on left offers under way unknown. A leaving node serves outside callers for the leaving bound, and the writer decides what was offered before it resigns.

--- a/internal/fleetrun/report.go
+++ b/internal/fleetrun/report.go
@@ -27,6 +27,13 @@
 			r.g.Go("poll-ready", func(context.Context) {
 				code, _ := r.Get("GET", n.Host+":7003", "/puffin/ready", "")
 				away.Store(n.Host+":8000", code != 200)
+				away.Store(n.Host+":7003", code != 200)
+			})
+		}
+		for _, c := range r.Cores {
+			r.g.Go("poll-ready", func(context.Context) {
+				code, _ := r.Get("GET", c.Host+":7003", "/puffin/ready", "")
+				away.Store(c.Host+":7003", code != 200)
 			})
 		}
 	})
@@ -34,6 +41,7 @@
 		off, _ := away.Load(front)
 		return off == true
 	}
+	apps.Skip = callers.Skip
 	over := make(chan struct{}, 2)
 	r.g.Go("callers", func(context.Context) { callers.Run(r.S.Lines, long); over <- struct{}{} })
 	r.g.Go("apps", func(context.Context) { apps.Run(14, coord, long); over <- struct{}{} })
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -42,6 +42,8 @@
 // handOut hands an outside call over to the control node of the session, and
 // to others as long as it is certain that none has acted on it.
 func (x *Proxy) handOut(w http.ResponseWriter, r *http.Request) {
+	x.owned.Add(1)
+	defer x.owned.Add(-1)
 	body, code := outer.Body(w, r, int64(x.P.Frame)/2)
 	if code != 0 {
 		outer.JSON(w, code, outer.Wrong{Wrong: "the body can't be read or is over the bound"})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"puffincrank/internal/env"
@@ -38,6 +39,7 @@
 	rep    *replica.Replica
 	stores *stores
 	routes http.Handler
+	calls  atomic.Int64 // outside calls under way
 	duties []*duty
 
 	mu     sync.Mutex
@@ -72,7 +74,8 @@
 		state.Move{From: "lost", By: "filled", To: "ready"},
 		state.Move{From: "starting", By: "stop", To: "leaving"},
 		state.Move{From: "lost", By: "stop", To: "leaving"},
-		state.Move{From: "ready", By: "stop", To: "leaving"})
+		state.Move{From: "ready", By: "stop", To: "leaving"},
+		state.Move{From: "leaving", By: "shut", To: "shut"})
 	r.duties = []*duty{newDuty(r, "steward", r.steward), newDuty(r, "judge", r.judge)}
 	r.rep.Subscribe(func(n replica.News) {
 		k := map[string]event.Kind{"registered": event.Registered, "unregistered": event.Unregistered, "down": event.Down}[n.Kind]
@@ -177,7 +180,7 @@
 // fill makes the node ready once its replica is filled from a fellow; when no
 // fellow answers it goes on with what the proxies' repairs bring.
 func (r *Registry) fill(ctx context.Context) {
-	if r.life.Is("ready", "leaving") {
+	if r.life.Is("ready", "leaving", "shut") {
 		return
 	}
 	r.mu.Lock()
@@ -214,7 +217,14 @@
 		d.vacate()
 	}
 	// Sessions are refused from now on, so within two beats all have moved.
-	pause(r.g.Context(), 3*r.P.Beat())
+	// Outside callers learn from readiness, which the platform polls: they are
+	// served meanwhile, and calls under way get their answers.
+	pause(r.g.Context(), r.P.Leave)
+	r.life.Fire("shut")
+	for from := time.Now(); r.calls.Load() > 0 && time.Since(from) < r.P.Grace; {
+		pause(r.g.Context(), r.P.Beat()/10)
+	}
+	pause(r.g.Context(), r.P.Beat()/2)
 	r.Kill()
 	r.e.Log.Emit(event.Stopped, "program", "registry")
 }
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -23,6 +23,7 @@
 // outerRoutes are the outside calls, for this program and for the store.
 func (r *Registry) outerRoutes() http.Handler {
 	m := chi.NewRouter()
+	m.Use(r.counted)
 	m.Get("/puffin/ready", r.getReady)
 	m.Get("/puffin/status", r.getStatus)
 	m.Get("/puffin/services", r.getServices)
@@ -56,6 +57,21 @@
 	return m
 }
 
+// counted lets a stop wait for the calls under way, and sends new ones away
+// from a node that leaves.
+func (r *Registry) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.calls.Add(1)
+		defer r.calls.Add(-1)
+		if r.life.Is("shut") && req.URL.Path != "/puffin/ready" {
+			w.Header().Set("Retry-After", "1")
+			outer.JSON(w, http.StatusServiceUnavailable, outer.Wrong{Wrong: "this node is leaving; nothing was done", Ran: "no"})
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 // taken collects an answer that goes back over a link.
 type taken struct {
 	head http.Header
@@ -76,7 +92,7 @@
 
 // onOuter answers an outside call that a proxy handed over.
 func (r *Registry) onOuter(ctx context.Context, _ wire.Hello, in session.Outer) (session.OuterBack, error) {
-	if r.life.Is("leaving") {
+	if r.life.Is("leaving", "shut") {
 		return session.OuterBack{}, fault.New(fault.Refused, "leaving")
 	}
 	req, err := http.NewRequestWithContext(ctx, in.Method, in.URI, bytes.NewReader(in.Body))
--- a/internal/registry/sessions.go
+++ b/internal/registry/sessions.go
@@ -38,7 +38,7 @@
 		delete(r.own, in.Fellow.Node)
 		return session.Receipt{}, nil
 	}
-	if r.rules == nil && r.sure.IsZero() || time.Since(r.sure) > r.P.Fresh() || r.life.Is("starting", "leaving", "lost") {
+	if r.rules == nil && r.sure.IsZero() || time.Since(r.sure) > r.P.Fresh() || r.life.Is("starting", "leaving", "shut", "lost") {
 		return session.Receipt{}, nil
 	}
 	s := r.own[in.Fellow.Node]
--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -30,6 +30,9 @@
 		at = append(at, n.Host+":7003")
 	}
 	c := stand.NewCoord(f.env("apps", "10.0.9.7", "outside", new(time.Duration)), at, f.Obs)
+	if f.Polled {
+		c.Skip = f.poll()
+	}
 	over := make(chan struct{})
 	f.g.Go("apps", func(context.Context) {
 		c.Run(10, 60, long)
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -89,6 +89,13 @@
 			f.g.Go("poll-ready", func(context.Context) {
 				code, _ := f.Get(n.Host+":7003", "/puffin/ready")
 				away.Store(n.Host+":8000", code != 200)
+				away.Store(n.Host+":7003", code != 200)
+			})
+		}
+		for _, c := range f.Cores {
+			f.g.Go("poll-ready", func(context.Context) {
+				code, _ := f.Get(c.Host+":7003", "/puffin/ready")
+				away.Store(c.Host+":7003", code != 200)
 			})
 		}
 	})
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,6 +119,7 @@
 		f.Start()
 		f.Polled = true
 		wait := f.Load(s.Lines, 50*time.Second)
+		apps := f.apps(50 * time.Second)
 		for _, n := range f.Nodes {
 			Wait(1200 * time.Millisecond)
 			from := time.Now()
@@ -136,6 +138,12 @@
 		}
 		wait()
 		f.Judge()
+		for what, n := range apps().Done {
+			// 404 and 409 are answers; all else would be an error.
+			if !strings.HasSuffix(what, " 200") && !strings.HasSuffix(what, " 404") && !strings.HasSuffix(what, " 409") {
+				t.Errorf("a planned roll was seen by applications: %d × %s", n, what)
+			}
+		}
 		if n := f.Obs.Counts(); n["done"] != n["calls"] || n["calls"] < 1000 {
 			t.Errorf("a planned roll was seen by callers: %v", n)
 		}
--- a/internal/stand/coord.go
+++ b/internal/stand/coord.go
@@ -41,6 +41,7 @@
 	acks map[string]uint64          // key to the highest acknowledged revision
 	puts map[uint64]bool            // acknowledged revisions
 	Done map[string]int             // outcome to count
+	Skip func(at string) bool       // nodes that nobody asks just now
 }
 
 type hold struct {
@@ -80,7 +81,11 @@
 		b, _ := json.Marshal(body)
 		in = strings.NewReader(string(b))
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.at[rand.IntN(len(c.at))]+uri, in)
+	at := c.at[rand.IntN(len(c.at))]
+	for try := 0; try < 20 && c.Skip != nil && c.Skip(at); try++ {
+		at = c.at[rand.IntN(len(c.at))]
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+at+uri, in)
 	if err != nil {
 		return out
 	}
--- a/internal/store/stand.go
+++ b/internal/store/stand.go
@@ -196,6 +196,13 @@
 	if t == nil {
 		return
 	}
+	// What was offered is decided first, so that no outcome stays unknown for
+	// a planned stop; new offers are refused and go to the next writer.
+	t.shut.Store(true)
+	for from := time.Now(); t.held.Load() > 0 && !t.over() && time.Since(from) < s.P.Lease(); {
+		w := time.NewTimer(s.P.Beat() / 20)
+		<-w.C
+	}
 	s.depose(why)
 	ctx, end := context.WithTimeout(context.Background(), s.P.Beat())
 	defer end()
--- a/internal/store/term.go
+++ b/internal/store/term.go
@@ -27,7 +27,9 @@
 	began  time.Time
 	locks  map[string]clock
 	past   []mark
-	higher int // rounds in which a member held a higher promise
+	shut   atomic.Bool  // handing the duty on: no more offers
+	held   atomic.Int64 // offers that wait for their receipt
+	higher int          // rounds in which a member held a higher promise
 }
 
 type offer struct {
@@ -65,7 +67,9 @@
 // offer queues a command and waits for what became of it.
 func (t *term) offer(ctx context.Context, p ledger.Packed) (ledger.Receipt, error) {
 	o := &offer{cmd: p, back: make(chan done, 1)}
-	if t.over() {
+	t.held.Add(1)
+	defer t.held.Add(-1)
+	if t.over() || t.shut.Load() {
 		return ledger.Receipt{}, fault.New(fault.Refused, "no longer the writer")
 	}
 	select {
