--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -81,7 +81,7 @@
 	for {
 		for _, at := range c.list() {
 			if ctx.Err() != nil {
-				return ledger.Receipt{}, fault.Wrap(fault.Refused, last, "no time left")
+				return ledger.Receipt{}, fault.New(fault.Refused, "no time left: %v", last)
 			}
 			// A change has the whole time left, since a cut-off wait would
 			// leave it unknown; a read is tried elsewhere soon.
@@ -112,7 +112,7 @@
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
-			return ledger.Receipt{}, fault.Wrap(fault.Refused, last, "no store in touch with a majority")
+			return ledger.Receipt{}, fault.New(fault.Refused, "no store in touch with a majority: %v", last)
 		}
 	}
 }
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,162 @@
+package replica_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/env"
+	"puffincrank/internal/event"
+	"puffincrank/internal/hlc"
+	"puffincrank/internal/member"
+	"puffincrank/internal/replica"
+	"puffincrank/internal/sim"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+const beat = 200 * time.Millisecond
+
+type node struct {
+	w    *wire.Node
+	rep  *replica.Replica
+	mu   sync.Mutex
+	news []string
+}
+
+func (n *node) heard() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.news...)
+}
+
+// row brings up replicas on hosts of a network, all knowing each other.
+func row(t *testing.T, net *sim.Net, g *task.Group, hosts, areas []string) []*node {
+	var all []member.Fellow
+	var out []*node
+	for i, h := range hosts {
+		net.Place(h, areas[i])
+		f := member.Fellow{Node: h, Start: "s", Role: "proxy", Area: areas[i], Inner: h + ":1"}
+		all = append(all, f)
+		e := env.Env{Net: net.Host(h), Log: event.New(h, nil), Wall: time.Now}
+		w := wire.NewNode(wire.Hello{Mesh: "m", Node: h, Area: areas[i]}, e, g, 1<<20, 64, beat)
+		n := &node{w: w, rep: replica.New(f, w, g, e.Log, hlc.New(time.Now, time.Minute), beat, 3*time.Second, time.Minute)}
+		n.rep.Subscribe(func(x replica.News) {
+			n.mu.Lock()
+			n.news = append(n.news, x.Kind+" "+x.Entry.Worker)
+			n.mu.Unlock()
+		})
+		if err := w.Listen(f.Inner); err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, n)
+	}
+	for _, n := range out {
+		n.rep.Peers(all)
+	}
+	return out
+}
+
+func stop(g *task.Group, all []*node) {
+	g.Cancel()
+	for _, n := range all {
+		n.w.Close()
+	}
+	g.Stop()
+}
+
+// TestLookups: local entries, all entries, and the best one, which prefers the
+// own node, then the own area; retries cover the way of a fresh registration;
+// subscribers hear registered, unregistered and down.
+func TestLookups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := sim.NewNet(1, time.Millisecond, 5*time.Millisecond)
+		g := task.New(context.Background())
+		n := row(t, net, g, []string{"h1", "h2", "h3"}, []string{"x", "x", "y"})
+		defer stop(g, n)
+		if _, ok := n[0].rep.Whereis(t.Context(), "s", 0); ok {
+			t.Error("found a service that nobody serves")
+		}
+		from := time.Now()
+		if _, ok := n[0].rep.Whereis(t.Context(), "s", replica.Retries); ok || time.Since(from) > beat {
+			t.Errorf("gave up after %v", time.Since(from))
+		}
+		// Registered far away a moment ago: without retries it is not there yet.
+		n[2].rep.Register("s", "far", map[string]string{"slots": "1"})
+		if _, ok := n[0].rep.Whereis(t.Context(), "s", 0); ok {
+			t.Error("the delta was faster than the network")
+		}
+		if e, ok := n[0].rep.Whereis(t.Context(), "s", replica.Retries); !ok || e.Worker != "far" {
+			t.Errorf("retries did not find it: %v %v", e, ok)
+		}
+		n[1].rep.Register("s", "near", nil)
+		<-time.After(beat)
+		if e, _ := n[0].rep.Whereis(t.Context(), "s", 0); e.Worker != "near" {
+			t.Errorf("the own area is not preferred: %v", e)
+		}
+		n[0].rep.Register("s", "own", nil)
+		if e, _ := n[0].rep.Whereis(t.Context(), "s", 0); e.Worker != "own" {
+			t.Errorf("the own node is not preferred: %v", e)
+		}
+		if l := n[0].rep.Local("s"); len(l) != 1 || l[0].Worker != "own" {
+			t.Errorf("local entries: %v", l)
+		}
+		<-time.After(beat)
+		if l := n[2].rep.Lookup("s"); len(l) != 3 {
+			t.Errorf("all entries: %v", l)
+		}
+		n[1].rep.Remove("near", "signed off")
+		<-time.After(beat)
+		n[2].rep.Remove("far", "down")
+		<-time.After(beat)
+		want := []string{"registered far", "registered near", "registered own", "unregistered near", "down far"}
+		if got := n[0].heard(); len(got) != len(want) {
+			t.Errorf("heard %v, want %v", got, want)
+		} else {
+			for i := range want {
+				if got[i] != want[i] {
+					t.Errorf("heard %v, want %v", got, want)
+					break
+				}
+			}
+		}
+	})
+}
+
+// TestRepair: replicas that missed deltas while they were cut off are mended
+// by digests, and a re-registration leaves one entry, with a fresh dot.
+func TestRepair(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := sim.NewNet(2, time.Millisecond, time.Millisecond)
+		g := task.New(context.Background())
+		n := row(t, net, g, []string{"h1", "h2", "h3"}, []string{"x", "x", "x"})
+		defer stop(g, n)
+		one := n[0].rep.Register("s", "w", nil)
+		<-time.After(beat)
+		net.Isolate("h3", true)
+		two := n[0].rep.Register("s", "w", map[string]string{"state": "draining"})
+		if one.Dot == two.Dot || !one.Dot.At.Less(two.Dot.At) {
+			t.Errorf("the dot is not fresh: %v %v", one.Dot, two.Dot)
+		}
+		n[2].rep.Register("s", "lone", nil)
+		<-time.After(20 * time.Second)
+		if l := n[2].rep.Lookup("s"); len(l) != 2 || l[0].Meta["state"] == "draining" {
+			t.Errorf("the cut did not cut: %v", l)
+		}
+		net.Isolate("h3", false)
+		<-time.After(20 * time.Second)
+		for i, x := range n {
+			l := x.rep.Lookup("s")
+			if len(l) != 2 {
+				t.Errorf("node %d has %v after repair", i, l)
+			}
+			for _, e := range l {
+				if e.Worker == "w" && e.Dot != two.Dot {
+					t.Errorf("node %d holds an old dot of w", i)
+				}
+			}
+		}
+	})
+}
