--- a/internal/sim/plan_test.go
+++ b/internal/sim/plan_test.go
@@ -164,7 +164,24 @@
 				apps := f.apps(40 * time.Second)
 				for range 9 {
 					Wait(time.Duration(200+p.rnd.IntN(1500)) * time.Millisecond)
+					// Now and then a worker leaves while something else fails.
+					var leaves *Node
+					var was *stand.Worker
+					if p.rnd.IntN(3) == 0 {
+						leaves = p.node()
+						was = leaves.Worker
+						p.say("worker at %s leaves", leaves.Host)
+						was.Leave("draining")
+					}
 					steps[p.rnd.IntN(len(steps))](p)
+					if leaves != nil {
+						Wait(2500 * time.Millisecond)
+						if leaves.Worker == was {
+							was.Leave("gone")
+							f.KillWorker(leaves)
+							f.StartWorker(leaves, s.Services[p.rnd.IntN(len(s.Services))])
+						}
+					}
 				}
 				f.Until(15*time.Second, "all stores are ready", f.coreReady)
 				f.Until(15*time.Second, "all is whole", f.Whole)
