--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -1,5 +1,12 @@
 package ctl
 
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
 // diff gives the lines that two texts don't share, by their longest common
 // run of lines.
 func diff(a, b []string) []string {
@@ -39,3 +46,31 @@
 	}
 	return out
 }
+
+// diff prints the lines that differ between what is in force and a document.
+func (m *command) diff(doc []byte) int {
+	return m.show(http.MethodGet, "/puffin/config", nil, func(raw []byte) error {
+		var got struct {
+			Version  uint64 `json:"version"`
+			Document any    `json:"document"`
+		}
+		if err := json.Unmarshal(raw, &got); err != nil {
+			return err
+		}
+		var want any
+		if err := json.Unmarshal(doc, &want); err != nil {
+			return err
+		}
+		fmt.Fprintf(m.say, "against version %d\n", got.Version)
+		old, now := lines(got.Document), lines(want)
+		for _, l := range diff(old, now) {
+			fmt.Fprintln(m.out, l)
+		}
+		return nil
+	})
+}
+
+func lines(v any) []string {
+	b, _ := json.MarshalIndent(v, "", "  ")
+	return strings.Split(string(b), "\n")
+}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"sort"
-	"strings"
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/ormap"
@@ -19,6 +18,7 @@
 		if err := json.Unmarshal(raw, &got); err != nil {
 			return err
 		}
+		fmt.Fprintf(m.say, "version %d\n", got.Version)
 		f(got)
 		for _, n := range got.Mute {
 			fmt.Fprintf(m.say, "no answer: %s\n", n)
@@ -127,11 +127,13 @@
 
 func (m *command) showServices(raw []byte) error {
 	var got struct {
+		Version uint64        `json:"version"`
 		Entries []ormap.Entry `json:"entries"`
 	}
 	if err := json.Unmarshal(raw, &got); err != nil {
 		return err
 	}
+	fmt.Fprintf(m.say, "version %d\n", got.Version)
 	sort.Slice(got.Entries, func(i, j int) bool {
 		return got.Entries[i].Service+got.Entries[i].Worker < got.Entries[j].Service+got.Entries[j].Worker
 	})
@@ -177,6 +179,7 @@
 
 func (m *command) showHistory(raw []byte) error {
 	var got struct {
+		Version uint64 `json:"version"`
 		History []struct {
 			Version uint64 `json:"version"`
 			Who     string `json:"who"`
@@ -186,6 +189,7 @@
 	if err := json.Unmarshal(raw, &got); err != nil {
 		return err
 	}
+	fmt.Fprintf(m.say, "version %d\n", got.Version)
 	var rows [][]string
 	for _, h := range got.History {
 		rows = append(rows, []string{fmt.Sprint(h.Version), h.Who, h.Why})
@@ -219,31 +223,3 @@
 	}
 	return nil
 }
-
-// diff prints the lines that differ between what is in force and a document.
-func (m *command) diff(doc []byte) int {
-	return m.show(http.MethodGet, "/puffin/config", nil, func(raw []byte) error {
-		var got struct {
-			Version  uint64 `json:"version"`
-			Document any    `json:"document"`
-		}
-		if err := json.Unmarshal(raw, &got); err != nil {
-			return err
-		}
-		var want any
-		if err := json.Unmarshal(doc, &want); err != nil {
-			return err
-		}
-		fmt.Fprintf(m.say, "against version %d\n", got.Version)
-		old, now := lines(got.Document), lines(want)
-		for _, l := range diff(old, now) {
-			fmt.Fprintln(m.out, l)
-		}
-		return nil
-	})
-}
-
-func lines(v any) []string {
-	b, _ := json.MarshalIndent(v, "", "  ")
-	return strings.Split(string(b), "\n")
-}
--- a/internal/registry/status.go
+++ b/internal/registry/status.go
@@ -170,7 +170,7 @@
 }
 
 func (r *Registry) getServices(w http.ResponseWriter, _ *http.Request) {
-	outer.JSON(w, http.StatusOK, map[string]any{"services": r.rep.Services(), "entries": r.rep.Map().Live(nil)})
+	outer.JSON(w, http.StatusOK, map[string]any{"version": r.version(), "services": r.rep.Services(), "entries": r.rep.Map().Live(nil)})
 }
 
 func (r *Registry) getEvents(w http.ResponseWriter, req *http.Request) {
@@ -191,7 +191,17 @@
 	if len(all) > 500 {
 		all = all[len(all)-500:]
 	}
-	outer.JSON(w, http.StatusOK, map[string]any{"events": all, "mute": f.Mute})
+	outer.JSON(w, http.StatusOK, map[string]any{"version": r.version(), "events": all, "mute": f.Mute})
+}
+
+// version is the configuration held here.
+func (r *Registry) version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rules == nil {
+		return 0
+	}
+	return r.rules.Version
 }
 
 // Trials gives the trials as last confirmed.
