Forget what the judge and the fronts hold of workers and fronts that are gone

Found by reading: the judge kept the counts of ended starts after the last trial, and a front its own old workers' fitness. Both grew with each replacement.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -92,9 +92,8 @@
 	}
 }
 
-// news logs the registry's events and mends own entries that others removed.
+// news logs the registry's events and forgets workers that are gone for good.
 func (x *Proxy) news(n replica.News) {
-	own := n.Entry.Owner == x.P.Node
 	if n.Kind == "registered" {
 		x.e.Log.Emit(event.Registered, "service", n.Entry.Service, "worker", n.Entry.Worker, "owner", n.Entry.Owner)
 		return
@@ -104,7 +103,7 @@
 		k = event.Down
 	}
 	x.e.Log.Emit(k, "service", n.Entry.Service, "worker", n.Entry.Worker, "owner", n.Entry.Owner, "why", n.Why)
-	if !own && len(x.rep.Map().Live(func(e ormap.Entry) bool { return e.Worker == n.Entry.Worker })) == 0 {
+	if len(x.rep.Map().Live(func(e ormap.Entry) bool { return e.Worker == n.Entry.Worker })) == 0 {
 		x.pick.Forget(n.Entry.Worker)
 	}
 }
--- a/internal/registry/judge.go
+++ b/internal/registry/judge.go
@@ -100,6 +100,10 @@
 			run = append(run, t)
 		}
 	}
+	// Without a trial nothing needs to be remembered of fronts that are gone.
+	if len(run) == 0 {
+		r.seenOf = map[reportKey]session.Report{}
+	}
 	due := len(run) > 0 && time.Since(r.looked) >= r.P.Change/2
 	if due {
 		r.looked = time.Now()
