Clocks of the stand-in machines jump without a race

Cause: a whole run under the race detector drew a jump of clocks in a plan and found the stand-in's offset written and read without a lock; no product code is touched.

--- a/internal/sim/core_test.go
+++ b/internal/sim/core_test.go
@@ -29,7 +29,7 @@
 	for _, n := range f.Nodes {
 		at = append(at, n.Host+":7003")
 	}
-	c := stand.NewCoord(f.env("apps", "10.0.9.7", "outside", new(time.Duration)), at, f.Obs)
+	c := stand.NewCoord(f.env("apps", "10.0.9.7", "outside", new(atomic.Int64)), at, f.Obs)
 	if f.Polled {
 		c.Skip = f.poll()
 	}
--- a/internal/sim/ctl_test.go
+++ b/internal/sim/ctl_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,7 +96,7 @@
 		// A node that takes a change and breaks off: the outcome is unknown, and
 		// the change is not sent to another.
 		took := 0
-		e := f.env("breaker", "10.0.1.99", "north", new(time.Duration))
+		e := f.env("breaker", "10.0.1.99", "north", new(atomic.Int64))
 		if err := outer.Serve(f.g, e, "10.0.1.99:7003", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			took++
 			panic(http.ErrAbortHandler)
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"puffincrank/internal/stand"
@@ -79,16 +80,16 @@
 }
 
 // Skew jumps the wall clock of a machine.
-func (n *Node) Skew(d time.Duration) { n.skew = d }
+func (n *Node) Skew(d time.Duration) { n.skew.Store(int64(d)) }
 
 // Skew jumps the wall clock of a core machine.
-func (c *Core) Skew(d time.Duration) { c.skew = d }
+func (c *Core) Skew(d time.Duration) { c.skew.Store(int64(d)) }
 
 // Load runs callers in the background until the returned function is called,
 // which waits for their end.
 func (f *Fleet) Load(lines []stand.Line, long time.Duration) func() {
 	f.Net.Place("10.0.9.8", "outside")
-	c := stand.NewCallers(f.env("callers", "10.0.9.8", "outside", new(time.Duration)), f.Fronts(), f.Obs, 15*time.Second)
+	c := stand.NewCallers(f.env("callers", "10.0.9.8", "outside", new(atomic.Int64)), f.Fronts(), f.Obs, 15*time.Second)
 	if f.Polled {
 		c.Skip = f.poll()
 	}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 	Disk     *Disk
 	Store    *store.Store
 	Registry *registry.Registry
-	skew     time.Duration
+	skew     atomic.Int64
 }
 
 // Node is one machine with a worker.
@@ -50,7 +51,7 @@
 	Area   string
 	Proxy  *proxy.Proxy
 	Worker *stand.Worker
-	skew   time.Duration
+	skew   atomic.Int64
 	starts int
 }
 
@@ -109,13 +110,13 @@
 	return p
 }
 
-func (f *Fleet) env(node, host, area string, skew *time.Duration) env.Env {
+func (f *Fleet) env(node, host, area string, skew *atomic.Int64) env.Env {
 	f.Net.Place(host, area)
 	log := event.New(node, nil)
 	if f.Log != nil {
 		log.Tell(f.Log)
 	}
-	return env.Env{Net: f.Net.Host(host), Log: log, Wall: func() time.Time { return time.Now().Add(*skew) }}
+	return env.Env{Net: f.Net.Host(host), Log: log, Wall: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }}
 }
 
 // StartStore starts the store of a core machine on its disk.
