Registrations of one worker take turns, so that two at once leave one entry

When the frozen proxy woke, its worker's beat and the check for removed own dots registered the worker in the same millisecond; neither observed the other's dot, so both lived. Ruled out: a returner's old entry (both dots were fresh).

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,7 @@
 	dot   string
 	beat  time.Duration
 	bury  time.Duration
+	reg   sync.Mutex // one registration at a time; taken before mu
 	mu    sync.Mutex
 	subs  []func(News)
 	peers []member.Fellow
@@ -136,8 +137,11 @@
 }
 
 // Register inserts an entry of this node with a fresh dot. Older entries of
-// the same worker that were observed here go in the same delta.
+// the same worker that were observed here go in the same delta. Two at once
+// would not observe each other and leave two entries, so they take turns.
 func (r *Replica) Register(service, worker string, meta map[string]string) ormap.Entry {
+	r.reg.Lock()
+	defer r.reg.Unlock()
 	e := ormap.Entry{Dot: ormap.Dot{Node: r.dot, At: r.clock.Now()}, Service: service, Worker: worker,
 		Owner: r.self.Node, Inner: r.self.Inner, Area: r.self.Area, Meta: meta}
 	d := r.m.Bury("again", func(o ormap.Entry) bool { return o.Worker == worker && o.Owner == r.self.Node })
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -160,3 +160,25 @@
 		}
 	})
 }
+
+// TestRegisterAtOnce: registrations of one worker that come at the same time,
+// as by a beat and by a node that finds its dots removed, leave one entry.
+func TestRegisterAtOnce(t *testing.T) {
+	g := task.New(context.Background())
+	n := row(t, sim.NewNet(3, time.Millisecond, time.Millisecond), g, []string{"h1"}, []string{"x"})
+	defer stop(g, n)
+	for round := range 300 {
+		var wait sync.WaitGroup
+		for range 4 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				n[0].rep.Register("s", "w", nil)
+			}()
+		}
+		wait.Wait()
+		if l := n[0].rep.Lookup("s"); len(l) != 1 {
+			t.Fatalf("round %d: %d entries of one worker", round, len(l))
+		}
+	}
+}
