One Pause for all packages, and code that nothing called is gone

Cause: registry and proxy each had the same wait for a time or a context's end, and the store a third by hand; package task has the one now. Gone: a document's pretty print, a list of own entries, a getter of trials and two counters that nobody read. Behaviour is as before: vet and all tests pass.

--- a/internal/nominate/nominate.go
+++ b/internal/nominate/nominate.go
@@ -35,8 +35,6 @@
 	shun  map[string]time.Time // owners that could not be reached, until when
 	here  map[string]bool      // nodes with a session; nil: not known
 	tell  func(worker string, fit bool)
-	Near  int64
-	Far   int64
 }
 
 // New makes a nominator for a front in an area.
@@ -107,11 +105,6 @@
 	if rand.IntN(64) != 0 && n.score(b, mid) < n.score(a, mid) {
 		a = b
 	}
-	if a.Area == n.area {
-		n.Near++
-	} else {
-		n.Far++
-	}
 	m := n.mate(a.Worker)
 	m.out++
 	m.kind = a.Service
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -10,6 +10,7 @@
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/state"
+	"puffincrank/internal/task"
 )
 
 // gate is the owner's door to one worker.
@@ -141,7 +142,7 @@
 	x.e.Log.Emit(event.Draining, "worker", g.worker)
 	x.enter(g, "draining")
 	x.g.Go("shut-door", func(ctx context.Context) {
-		pause(ctx, x.P.Leave/4)
+		task.Pause(ctx, x.P.Leave/4)
 		if g.state.Is("draining") {
 			g.room.Close()
 		}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -6,7 +6,6 @@
 
 	"puffincrank/internal/class"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ormap"
 	"puffincrank/internal/seal"
 	"puffincrank/internal/session"
 	"puffincrank/internal/wire"
@@ -188,8 +187,3 @@
 	}
 	return out
 }
-
-// ownEntries lists this node's own live entries.
-func (x *Proxy) ownEntries() []ormap.Entry {
-	return x.rep.Map().Live(func(e ormap.Entry) bool { return e.Owner == x.P.Node })
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -156,28 +156,19 @@
 	defer end()
 	// Callers learn from readiness, which the platform polls; until they had
 	// the time to, this front goes on taking their jobs.
-	pause(ctx, x.P.Leave)
+	task.Pause(ctx, x.P.Leave)
 	x.life.Fire("shut")
 	for x.busy.Load()+x.owned.Load() > 0 && ctx.Err() == nil {
-		pause(ctx, x.P.Beat()/10)
+		task.Pause(ctx, x.P.Beat()/10)
 	}
 	x.signOff()
 	x.touch.bye()
-	pause(ctx, x.P.Beat()/2)
+	task.Pause(ctx, x.P.Beat()/2)
 	x.life.Fire("end")
 	x.Kill()
 	x.e.Log.Emit(event.Stopped, "program", "proxy")
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // forget drops attempt ids that are older than any time left could be.
 func (x *Proxy) forget(context.Context) {
 	x.way.sweep()
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -11,6 +11,7 @@
 	"puffincrank/internal/rules"
 	"puffincrank/internal/seal"
 	"puffincrank/internal/session"
+	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
 
@@ -177,7 +178,7 @@
 		case x.touch.kick <- struct{}{}:
 		default:
 		}
-		pause(ctx, x.P.Beat()/8)
+		task.Pause(ctx, x.P.Beat()/8)
 	}
 	// The owner was the one behind: it has had the time to catch up.
 	delete(j.tried, j.entry.Worker)
--- a/internal/proxy/touch.go
+++ b/internal/proxy/touch.go
@@ -10,6 +10,7 @@
 	"puffincrank/internal/member"
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/session"
+	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
 
@@ -180,7 +181,7 @@
 		x.g.Go("mend-soon", func(ctx context.Context) {
 			for range 3 {
 				_ = x.rep.Mend(ctx, to)
-				pause(ctx, 2*x.P.Beat())
+				task.Pause(ctx, 2*x.P.Beat())
 			}
 		})
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -139,16 +139,7 @@
 		if !r.inTouch() && r.life.Fire("lost") {
 			r.e.Log.Emit(event.OutOfTouch, "with", "stores")
 		}
-		pause(ctx, r.P.Beat()/4)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		task.Pause(ctx, r.P.Beat()/4)
 	}
 }
 
@@ -219,12 +210,12 @@
 	// Sessions are refused from now on, so within two beats all have moved.
 	// Outside callers learn from readiness, which the platform polls: they are
 	// served meanwhile, and calls under way get their answers.
-	pause(r.g.Context(), r.P.Leave)
+	task.Pause(r.g.Context(), r.P.Leave)
 	r.life.Fire("shut")
 	for from := time.Now(); r.calls.Load() > 0 && time.Since(from) < r.P.Grace; {
-		pause(r.g.Context(), r.P.Beat()/10)
+		task.Pause(r.g.Context(), r.P.Beat()/10)
 	}
-	pause(r.g.Context(), r.P.Beat()/2)
+	task.Pause(r.g.Context(), r.P.Beat()/2)
 	r.Kill()
 	r.e.Log.Emit(event.Stopped, "program", "registry")
 }
--- a/internal/registry/status.go
+++ b/internal/registry/status.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/member"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/proxy"
@@ -204,13 +203,6 @@
 	return r.rules.Version
 }
 
-// Trials gives the trials as last confirmed.
-func (r *Registry) Trials() []ledger.Trial {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.trials
-}
-
 // Sizes gives the bytes that this process sent to others, by kind of message;
 // receipts count with what they answer.
 func (r *Registry) Sizes() map[wire.Flow]wire.Sum { return r.n.Sizes() }
--- a/internal/rules/match.go
+++ b/internal/rules/match.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"strings"
@@ -47,16 +46,3 @@
 	}
 	return &p.Base
 }
-
-// Pretty gives the document in one fixed layout, for compare and print.
-func Pretty(doc []byte) string {
-	var v any
-	if json.Unmarshal(doc, &v) != nil {
-		return string(doc)
-	}
-	b, err := json.MarshalIndent(v, "", "  ")
-	if err != nil {
-		return string(doc)
-	}
-	return string(b)
-}
--- a/internal/store/stand.go
+++ b/internal/store/stand.go
@@ -9,6 +9,7 @@
 	"puffincrank/internal/event"
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
 
@@ -31,12 +32,7 @@
 	}
 	// The wait differs from store to store, so that two seldom stand at once;
 	// whoever was voted for meanwhile is heard, and this store stays down.
-	t := time.NewTimer(time.Duration(rand.Int64N(int64(s.P.Lease() / 2))))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	task.Pause(ctx, time.Duration(rand.Int64N(int64(s.P.Lease()/2))))
 	if _, quiet := s.vote.Vow(); quiet >= s.P.Lease() {
 		s.stand(ctx)
 	}
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -95,3 +95,13 @@
 	g.Cancel()
 	g.wg.Wait()
 }
+
+// Pause waits for a time, or until the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
