A frozen owner lets no job in to a worker that left meanwhile

Cause: the gate went by its state alone. An owner that woke had hand-overs in its sockets and the worker's 'draining' unread; and once read, the door stayed open for a part of the bound from then. Ruled out: the confirmation of the configuration, which looks at versions only and did hold. Processes of the simulator can be frozen: their calls of network and disk stand still, bytes queue up.

--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -10,6 +10,7 @@
 
 	"puffincrank/internal/disk"
 	"puffincrank/internal/event"
+	"puffincrank/internal/task"
 )
 
 // Net opens and takes connections.
@@ -23,7 +24,10 @@
 	Net  Net
 	FS   disk.FS
 	Wall func() time.Time
-	Log  *event.Log
+	// Pause waits for a time, or until the context ends; whoever was frozen
+	// wakes late from it.
+	Pause func(ctx context.Context, d time.Duration)
+	Log   *event.Log
 }
 
 type real struct{ d net.Dialer }
@@ -35,5 +39,5 @@
 
 // Real is the machine's own network and clock; the folder is set by who has one.
 func Real(node string) Env {
-	return Env{Net: &real{}, Wall: time.Now, Log: event.New(node, os.Stderr)}
+	return Env{Net: &real{}, Wall: time.Now, Pause: task.Pause, Log: event.New(node, os.Stderr)}
 }
--- a/internal/proxy/beat.go
+++ b/internal/proxy/beat.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/outer"
@@ -69,8 +68,8 @@
 	if g == nil {
 		return
 	}
+	x.hears(g, say == "up")
 	g.mu.Lock()
-	g.heard = time.Now()
 	resized := g.slots != slots
 	g.slots = slots
 	sick := g.bad >= 2
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -23,7 +23,8 @@
 	state   *state.Machine // up, draining, down, gone
 	mu      sync.Mutex
 	heard   time.Time
-	bad     int // failed probes in a row
+	word    time.Time // the newest 'up' that is certain to be no older than it looks
+	bad     int       // failed probes in a row
 	dot     ormap.Dot
 	leaves  time.Time // when it said that it is leaving
 }
@@ -115,17 +116,32 @@
 	return g.heard
 }
 
-// takes tells whether new jobs may go in: while the worker is up, and for a
-// part of the leaving bound after it began to drain. Fronts that have not seen
-// the flag yet would otherwise spend repeats, or their callers get errors, for
-// a planned leave.
+// takes tells whether new jobs may go in: on fresh word of the worker, while it
+// is up, and for a part of the leaving bound after it began to drain. Fronts
+// that have not seen the flag yet would otherwise spend repeats, or their
+// callers get errors, for a planned leave.
 func (x *Proxy) takes(g *gate) bool {
-	if g.state.Is("up") {
-		return true
+	woke := x.pulse.Woke()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// A 'draining' may wait unread in a socket, or not get here at all: the
+	// worker may have left at any time after its newest word.
+	if !g.word.After(woke) || time.Since(g.word) > x.P.Missed() {
+		return false
 	}
+	return g.state.Is("up") || g.state.Is("draining") && time.Since(g.leaves) < x.P.Leave/4
+}
+
+// hears notes a beat. One that is read right after a freeze may be as old as
+// the freeze, so it is no word that the worker is up now.
+func (x *Proxy) hears(g *gate, up bool) {
+	woke := x.pulse.Woke()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.state.Is("draining") && time.Since(g.leaves) < x.P.Leave/4
+	g.heard = time.Now()
+	if up && time.Since(woke) > x.P.WorkerBeat()/2 {
+		g.word = g.heard
+	}
 }
 
 // drain flags the entry for the others at once and shuts the door soon after.
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -119,10 +119,18 @@
 		v.gate = nil
 		return v.refuse("no such worker here")
 	}
-	if !x.takes(v.gate) {
-		return v.refuse("worker is " + v.gate.state.Now())
+	return x.open(v)
+}
+
+// open looks whether the gate's door is open just now.
+func (x *Proxy) open(v *visit) bool {
+	if x.takes(v.gate) {
+		return true
 	}
-	return true
+	if s := v.gate.state.Now(); s != "up" {
+		return v.refuse("worker is " + s)
+	}
+	return v.refuse("no fresh word of the worker")
 }
 
 // admit takes a slot. Waiting is bounded by a part of the time left, so that
@@ -137,9 +145,6 @@
 	if !time.Now().Before(v.end) {
 		return v.refuse("no time left before delivery")
 	}
-	if !x.takes(v.gate) {
-		return v.refuse("worker is " + v.gate.state.Now())
-	}
 	if !x.touch.confirm(ctx) {
 		return v.refuse("owner can't confirm its configuration")
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/props"
+	"puffincrank/internal/pulse"
 	"puffincrank/internal/repeats"
 	"puffincrank/internal/replica"
 	"puffincrank/internal/rules"
@@ -40,6 +41,7 @@
 	pick  *nominate.Nominator
 	again *repeats.Budget
 	way   *way
+	pulse *pulse.Pulse
 	rules atomic.Pointer[rules.Rules]
 	busy  atomic.Int64 // jobs under way as a front
 	owned atomic.Int64 // attempts under way as an owner
@@ -59,13 +61,14 @@
 
 // New readies a proxy.
 func New(p props.Props, e env.Env) *Proxy {
-	g := task.New(context.Background())
+	g := task.New(context.Background()).Pace(e.Pause)
 	x := &Proxy{P: p, e: e, g: g, gates: map[string]*gate{}, met: map[string]time.Time{}, tally: map[armKey]*armTally{}, live: map[string]time.Time{}, boot: fresh()}
 	x.self = member.Fellow{Node: p.Node, Start: x.boot, Role: "proxy", Area: p.Area, Inner: p.Inner, Outer: p.Outer, Traffic: p.Traffic}
 	x.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "proxy"}, e, g, p.Frame, p.Jobs, p.Patience())
 	x.rep = replica.New(x.self, x.n, g, e.Log, hlc.New(e.Wall, 2*p.Return), p.Beat(), p.Repair(), p.Bury())
 	x.pick = nominate.New(p.Area, p.Beat(), x.fitness)
 	x.again = repeats.New(p.Window)
+	x.pulse = pulse.New(p.Beat()/4, p.Gap(), func(gap time.Duration) { e.Log.Emit(event.Froze, "ms", gap.Milliseconds()) })
 	x.touch = newTouch(x)
 	x.way = newWay(e.Net, g, p.Change, int64(p.Body)+64<<10)
 	x.life = state.New("starting", nil,
@@ -124,6 +127,7 @@
 		return err
 	}
 	x.e.Log.Emit(event.Started, "program", "proxy", "traffic", x.P.Traffic)
+	x.g.Go("pulse", func(ctx context.Context) { x.pulse.Run(ctx, x.e.Pause) })
 	x.g.Go("session", x.touch.run)
 	x.g.Every("worker-watch", x.P.WorkerBeat(), x.watch)
 	x.g.Every("forget", x.P.Return, x.forget)
--- a/internal/proxy/touch.go
+++ b/internal/proxy/touch.go
@@ -43,7 +43,6 @@
 // run is the loop of beats.
 func (t *touch) run(ctx context.Context) {
 	x := t.x
-	last := time.Now()
 	for {
 		tick := time.NewTimer(x.P.Beat())
 		select {
@@ -54,11 +53,7 @@
 		case <-t.kick:
 			tick.Stop()
 		}
-		if gap := time.Since(last); gap > x.P.Beat()+x.P.Gap() {
-			x.e.Log.Emit(event.Froze, "ms", gap.Milliseconds())
-		}
 		t.once(ctx)
-		last = time.Now()
 	}
 }
 
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -11,7 +11,6 @@
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/store"
-	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
 
@@ -42,7 +41,7 @@
 func (d *duty) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if num, ok := d.holds(); ok {
-			task.Pause(ctx, d.r.P.Beat())
+			d.r.e.Pause(ctx, d.r.P.Beat())
 			if d.vote(ctx, "beat", num) {
 				d.work(ctx, num)
 			} else if _, still := d.holds(); !still {
@@ -51,7 +50,7 @@
 			continue
 		}
 		d.lose("the lease ran out")
-		task.Pause(ctx, d.r.P.Lease()/2+time.Duration(rand.Int64N(int64(d.r.P.Lease()))))
+		d.r.e.Pause(ctx, d.r.P.Lease()/2+time.Duration(rand.Int64N(int64(d.r.P.Lease()))))
 		if !d.r.Ready() {
 			continue
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -60,7 +60,7 @@
 
 // New readies a registry.
 func New(p props.Props, e env.Env) *Registry {
-	g := task.New(context.Background())
+	g := task.New(context.Background()).Pace(e.Pause)
 	r := &Registry{P: p, e: e, g: g, own: map[string]*seat{}, others: map[string]*shared{}, known: map[string]string{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
 	var b [6]byte
 	_, _ = rand.Read(b[:])
@@ -139,7 +139,7 @@
 		if !r.inTouch() && r.life.Fire("lost") {
 			r.e.Log.Emit(event.OutOfTouch, "with", "stores")
 		}
-		task.Pause(ctx, r.P.Beat()/4)
+		r.e.Pause(ctx, r.P.Beat()/4)
 	}
 }
 
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -19,6 +19,7 @@
 	room  int // bytes left when bound is set
 	bound bool
 	Syncs int
+	ice   *ice // of the process that has it
 }
 
 type node struct {
@@ -27,7 +28,7 @@
 }
 
 // NewDisk makes an empty disk.
-func NewDisk() *Disk { return &Disk{now: map[string]*node{}, safe: map[string]*node{}} }
+func NewDisk() *Disk { return &Disk{ice: &ice{}, now: map[string]*node{}, safe: map[string]*node{}} }
 
 var errFull = errors.New("no space left on device")
 
@@ -106,6 +107,7 @@
 	if lag > 0 {
 		time.Sleep(lag)
 	}
+	f.d.ice.hold()
 	f.d.mu.Lock()
 	f.n.saved = append([]byte(nil), f.n.data...)
 	f.d.Syncs++
@@ -117,6 +119,7 @@
 
 // Create opens a new file.
 func (d *Disk) Create(name string) (disk.File, error) {
+	d.ice.hold()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := &node{}
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -13,6 +13,8 @@
 // unsynced bytes go too.
 func (f *Fleet) KillCore(c *Core, power bool) {
 	f.Net.Kill(c.Host)
+	f.Net.Freeze("store-"+c.Host, false)
+	f.Net.Freeze("core-"+c.Host, false)
 	if c.Store != nil {
 		c.Store.Kill()
 	}
@@ -33,6 +35,7 @@
 
 // KillNode ends a node's proxy at once; its worker lives on.
 func (f *Fleet) KillNode(n *Node) {
+	f.Net.Freeze("node-"+n.Host, false)
 	if n.Proxy != nil {
 		n.Proxy.Kill()
 	}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -116,13 +116,17 @@
 	if f.Log != nil {
 		log.Tell(f.Log)
 	}
-	return env.Env{Net: f.Net.Host(host), Log: log, Wall: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }}
+	// A fresh start is never frozen, whatever became of the one before.
+	f.Net.Freeze(node, false)
+	return env.Env{Net: f.Net.Process(host, node), Log: log, Pause: f.Net.ice(node).pause,
+		Wall: func() time.Time { return time.Now().Add(time.Duration(skew.Load())) }}
 }
 
 // StartStore starts the store of a core machine on its disk.
 func (f *Fleet) StartStore(c *Core) {
 	e := f.env("store-"+c.Host, c.Host, c.Area, &c.skew)
 	e.FS = c.Disk
+	c.Disk.ice = f.Net.ice("store-" + c.Host)
 	// Each store has the seeds in another order.
 	seeds := f.seeds(7001)
 	for i, o := range f.Cores[:3] {
@@ -161,11 +165,17 @@
 }
 
 // StartWorker starts a fresh worker beside a node.
-func (f *Fleet) StartWorker(n *Node, service string) {
+func (f *Fleet) StartWorker(n *Node, service string) { f.worker(n, service, n.Host, false) }
+
+// StartStranger starts a worker that doesn't look whom a job is for; its beats
+// go out from the host's second name, which can be cut off by itself.
+func (f *Fleet) StartStranger(n *Node, service string) { f.worker(n, service, n.Host+"w", true) }
+
+func (f *Fleet) worker(n *Node, service, from string, naive bool) {
 	n.starts++
 	id := fmt.Sprintf("%s-%s-%d", service, strings.ReplaceAll(n.Host, ".", "-"), n.starts)
-	e := f.env(id, n.Host, n.Area, &n.skew)
-	w, err := stand.NewWorker(e, service, id, n.Host+":9000", n.Host+":7003", f.S.Slots, stand.Way{Took: f.S.Took[service]}, f.Obs)
+	e := f.env(id, from, n.Area, &n.skew)
+	w, err := stand.NewWorker(e, service, id, n.Host+":9000", n.Host+":7003", f.S.Slots, stand.Way{Took: f.S.Took[service], Naive: naive}, f.Obs)
 	if err != nil {
 		f.T.Fatalf("worker at %s: %v", n.Host, err)
 	}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -20,6 +20,7 @@
 	areas map[string]string // host to area
 	cut   map[[2]string]bool
 	turn  chan struct{}
+	ices  map[string]*ice // process to its ice
 	rnd   *rand.Rand
 	near  time.Duration
 	far   time.Duration
@@ -29,7 +30,7 @@
 
 // NewNet makes a network with the delay within and between areas.
 func NewNet(seed uint64, near, far time.Duration) *Net {
-	return &Net{ears: map[string]*ear{}, ends: map[*pipe]bool{}, areas: map[string]string{},
+	return &Net{ices: map[string]*ice{}, ears: map[string]*ear{}, ends: map[*pipe]bool{}, areas: map[string]string{},
 		cut: map[[2]string]bool{}, turn: make(chan struct{}), rnd: rand.New(rand.NewPCG(seed, 7)), near: near, far: far}
 }
 
@@ -113,16 +114,27 @@
 }
 
 // Host is the network as one host sees it.
-func (n *Net) Host(h string) *Host { return &Host{n: n, h: h} }
+func (n *Net) Host(h string) *Host { return n.Process(h, "") }
+
+// Process is the network as one process on a host sees it.
+func (n *Net) Process(h, process string) *Host {
+	i := &ice{}
+	if process != "" {
+		i = n.ice(process)
+	}
+	return &Host{n: n, h: h, ice: i}
+}
 
 // Host dials and listens as one host.
 type Host struct {
-	n *Net
-	h string
+	n   *Net
+	h   string
+	ice *ice
 }
 
 type ear struct {
 	n    *Net
+	ice  *ice
 	at   string
 	c    chan *pipe
 	done chan struct{}
@@ -132,6 +144,7 @@
 func (e *ear) Accept() (net.Conn, error) {
 	select {
 	case p := <-e.c:
+		e.ice.hold()
 		return p, nil
 	case <-e.done:
 		return nil, net.ErrClosed
@@ -157,7 +170,7 @@
 	if h.n.ears[a] != nil {
 		return nil, errors.New("address in use: " + a)
 	}
-	e := &ear{n: h.n, at: a, c: make(chan *pipe, 256), done: make(chan struct{})}
+	e := &ear{n: h.n, ice: h.ice, at: a, c: make(chan *pipe, 256), done: make(chan struct{})}
 	h.n.ears[a] = e
 	return e, nil
 }
@@ -166,6 +179,7 @@
 func (h *Host) Dial(ctx context.Context, a string) (net.Conn, error) {
 	to := host(a)
 	for {
+		h.ice.hold()
 		turn := h.n.changed()
 		if h.n.open(h.h, to) && h.n.open(to, h.h) {
 			break
@@ -190,13 +204,14 @@
 		return nil, errors.New("connection refused: " + a)
 	}
 	there, back := newHalf(), newHalf()
-	one := &pipe{net: h.n, from: h.h, to: to, in: back, out: there, nudge: make(chan struct{}), name: addr(h.h + ":9"), far: addr(a)}
-	two := &pipe{net: h.n, from: to, to: h.h, in: there, out: back, nudge: make(chan struct{}), name: addr(a), far: addr(h.h + ":9")}
+	one := &pipe{net: h.n, ice: h.ice, from: h.h, to: to, in: back, out: there, nudge: make(chan struct{}), name: addr(h.h + ":9"), far: addr(a)}
+	two := &pipe{net: h.n, ice: e.ice, from: to, to: h.h, in: there, out: back, nudge: make(chan struct{}), name: addr(a), far: addr(h.h + ":9")}
 	h.n.mu.Lock()
 	h.n.ends[one], h.n.ends[two] = true, true
 	h.n.mu.Unlock()
 	select {
 	case e.c <- two:
+		h.ice.hold()
 		return one, nil
 	case <-e.done:
 	case <-ctx.Done():
@@ -228,13 +243,3 @@
 		p.reset()
 	}
 }
-
-// Sum gives the bytes sent so far, between areas or within them.
-func (n *Net) Sum(away bool) int64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if away {
-		return n.Away
-	}
-	return n.Home
-}
--- a/internal/sim/pipe.go
+++ b/internal/sim/pipe.go
@@ -33,6 +33,7 @@
 // pipe is one end of a connection in memory.
 type pipe struct {
 	net      *Net
+	ice      *ice   // of the process at this end
 	from, to string // hosts of this end and the far one
 	in, out  *half
 	mu       sync.Mutex
@@ -73,6 +74,9 @@
 
 func (p *pipe) Read(b []byte) (int, error) {
 	for {
+		// Right after a thaw what has arrived comes before a deadline that
+		// passed meanwhile: both are due, and this order is the worse one.
+		thawed := p.ice.hold()
 		p.mu.Lock()
 		end, nudge := p.rd, p.nudge
 		p.mu.Unlock()
@@ -84,7 +88,7 @@
 			h.mu.Unlock()
 			return 0, err
 		}
-		if !end.IsZero() && !now.Before(end) {
+		if !thawed && !end.IsZero() && !now.Before(end) {
 			h.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -124,6 +128,7 @@
 }
 
 func (p *pipe) Write(b []byte) (int, error) {
+	p.ice.hold()
 	p.mu.Lock()
 	end := p.wd
 	p.mu.Unlock()
@@ -151,6 +156,13 @@
 }
 
 func (p *pipe) Close() error {
+	if !p.ice.later(p.close) {
+		p.close()
+	}
+	return nil
+}
+
+func (p *pipe) close() {
 	p.out.mu.Lock()
 	p.out.shut = true
 	p.out.stir()
@@ -162,7 +174,6 @@
 	p.in.stir()
 	p.in.mu.Unlock()
 	p.net.forget(p)
-	return nil
 }
 
 // reset ends the connection at once, both ways, as a killed process does.
@@ -177,3 +188,13 @@
 	}
 	p.net.forget(p)
 }
+
+// Sum gives the bytes sent so far, between areas or within them.
+func (n *Net) Sum(away bool) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if away {
+		return n.Away
+	}
+	return n.Home
+}
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -35,12 +35,13 @@
 	seq    atomic.Int64
 	under  atomic.Int64
 	Wait   time.Duration
+	Name   string                  // what their calls' names begin with
 	Skip   func(front string) bool // fronts that no caller goes to just now
 }
 
 // NewCallers makes callers of the given fronts.
 func NewCallers(e env.Env, fronts []string, obs *Observer, wait time.Duration) *Callers {
-	c := &Callers{e: e, g: task.New(context.Background()), obs: obs, fronts: fronts, Wait: wait}
+	c := &Callers{e: e, g: task.New(context.Background()), obs: obs, fronts: fronts, Wait: wait, Name: "c"}
 	c.way = &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, a string) (net.Conn, error) { return e.Net.Dial(ctx, a) }}
 	return c
 }
@@ -90,7 +91,7 @@
 
 // At makes one call to one front.
 func (c *Callers) At(front string, l Line) Call {
-	id := fmt.Sprintf("c%d", c.seq.Add(1))
+	id := fmt.Sprint(c.Name, c.seq.Add(1))
 	out := Call{ID: id, Front: front, Service: l.Service, Safe: l.Safe, From: time.Now()}
 	ctx, end := context.WithTimeout(c.g.Context(), c.Wait)
 	defer end()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{learn: task.NewLock(), P: p, e: e, g: task.New(context.Background()), acc: acc, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
+	s := &Store{learn: task.NewLock(), P: p, e: e, g: task.New(context.Background()).Pace(e.Pause), acc: acc, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
 	s.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "store"}, e, s.g, p.Frame, p.Jobs, p.Patience())
 	for _, n := range acc.Notes {
 		e.Log.Emit(event.Damaged, "file", n)
@@ -156,12 +156,9 @@
 	last := time.Now()
 	wait := s.P.Beat()
 	for {
-		t := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		s.e.Pause(ctx, wait)
+		if ctx.Err() != nil {
 			return
-		case <-t.C:
 		}
 		now := time.Now()
 		if now.Sub(last) > wait+s.P.Gap() {
--- a/internal/store/term.go
+++ b/internal/store/term.go
@@ -45,7 +45,7 @@
 
 func (s *Store) newTerm(num ballot.Number) *term {
 	now := time.Now()
-	t := &term{s: s, num: num, g: task.New(s.g.Context()), queue: make(chan *offer, 1024), asks: make(chan *check, 1024),
+	t := &term{s: s, num: num, g: task.New(s.g.Context()).Pace(s.e.Pause), queue: make(chan *offer, 1024), asks: make(chan *check, 1024),
 		major: now, heard: map[string]time.Time{}, began: now, locks: map[string]clock{}}
 	for _, m := range s.led.Members {
 		t.heard[m.ID] = now
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -16,12 +16,22 @@
 	mu   sync.Mutex
 	shut bool
 	live map[string]int
+	// pause is how Every waits, Pause if nothing else was said.
+	pause func(context.Context, time.Duration)
 }
 
 // New makes a Group whose goroutines end with root.
 func New(root context.Context) *Group {
 	ctx, stop := context.WithCancel(root)
-	return &Group{ctx: ctx, stop: stop, live: map[string]int{}}
+	return &Group{ctx: ctx, stop: stop, live: map[string]int{}, pause: Pause}
+}
+
+// Pace sets how Every waits between two beats.
+func (g *Group) Pace(pause func(context.Context, time.Duration)) *Group {
+	if pause != nil {
+		g.pause = pause
+	}
+	return g
 }
 
 // Context ends when the group is stopped.
@@ -58,15 +68,12 @@
 // Every runs f at each beat until the group stops.
 func (g *Group) Every(name string, beat time.Duration, f func(context.Context)) bool {
 	return g.Go(name, func(ctx context.Context) {
-		t := time.NewTicker(beat)
-		defer t.Stop()
 		for {
-			select {
-			case <-ctx.Done():
+			g.pause(ctx, beat)
+			if ctx.Err() != nil {
 				return
-			case <-t.C:
-				f(ctx)
 			}
+			f(ctx)
 		}
 	})
 }
