A job goes out only on a connection that named the expected worker

Cause: the owner opened a connection and wrote the job; only a stranger's own 421 or its wrong seal told that the address had passed on. Ruled out: the eviction at the new worker's first beat, which comes too late when that beat does. Now every new connection is asked who is there, kept connections belong to an identity, and the door is looked at once more after the connection stands.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,7 @@
 	Fit          = Kind{603, "fit", "a worker regained its weight", false}
 	BeatBad      = Kind{604, "beat-bad", "a worker's beat was refused", true}
 	Twice        = Kind{605, "twice", "a second arrival of one attempt was refused", true}
+	Stranger     = Kind{606, "stranger", "another than the worker stands at its address; no job was sent", true}
 	ConfigTaken  = Kind{701, "config-taken", "a configuration version is in force here", false}
 	ConfigBad    = Kind{702, "config-bad", "a configuration was refused", true}
 	ConfigSet    = Kind{703, "config-set", "a configuration was acknowledged", false}
@@ -55,5 +56,5 @@
 	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch,
 	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining,
-	Garbled, Unfit, Fit, BeatBad, Twice,
+	Garbled, Unfit, Fit, BeatBad, Twice, Stranger,
 	ConfigTaken, ConfigBad, ConfigSet, Proposed, Promoted, HeldBack, Emergency}
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -1,9 +1,9 @@
 package proxy
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -57,12 +57,21 @@
 	// A little less than there is: what the worker calls in turn gives up
 	// while the worker can still answer.
 	r.Header.Set(seal.Left, strconv.FormatInt((time.Until(v.end)*19/20).Milliseconds(), 10))
-	k, err := x.way.take(ctx, v.gate.addr)
+	k, err := x.way.take(ctx, v.gate.worker, v.gate.addr)
+	if errors.Is(err, errStranger) {
+		x.stranger(v.gate)
+		return v.refuse("another stands at the worker's address")
+	}
 	if err != nil {
 		return v.refuse("no connection to the worker")
 	}
+	// The last look, now that nothing is waited for any more.
+	if !time.Now().Before(v.end) || !x.open(v) {
+		x.way.keep(k)
+		return v.refuse("the door shut before delivery")
+	}
 	// From here on the worker may have had the job, whatever an error says.
-	w, body, err := x.way.send(k, v.gate.addr, r, v.end)
+	w, body, err := x.way.send(k, r, v.end)
 	if err != nil {
 		return v.unknown("no whole answer from the worker: " + plain(err))
 	}
@@ -81,40 +90,3 @@
 	}
 	return s
 }
-
-// probe asks the worker's port whether it lives.
-func (x *Proxy) probe(ctx context.Context, g *gate) {
-	ctx, end := context.WithTimeout(ctx, x.P.Missed()/2)
-	defer end()
-	ok := false
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.addr+"/puffin/fitness", nil)
-	if err == nil {
-		// A connection of its own: a probe must find out whether one stands.
-		r.Close = true
-		if c, err := x.e.Net.Dial(ctx, g.addr); err == nil {
-			end, _ := ctx.Deadline()
-			_ = c.SetDeadline(end)
-			if r.Write(c) == nil {
-				w, err := http.ReadResponse(bufio.NewReader(io.LimitReader(c, 64<<10)), r)
-				if err == nil {
-					_ = w.Body.Close()
-					// Another identity at the address is as good as dead for ours.
-					id := w.Header.Get(seal.Worker)
-					ok = w.StatusCode < 500 && (id == "" || id == g.worker)
-				}
-			}
-			_ = c.Close()
-		}
-	}
-	g.mu.Lock()
-	if ok {
-		g.bad = 0
-	} else {
-		g.bad++
-	}
-	dead := g.bad >= 2
-	g.mu.Unlock()
-	if dead {
-		x.evictStranger(g)
-	}
-}
--- a/internal/proxy/way.go
+++ b/internal/proxy/way.go
@@ -22,34 +22,35 @@
 	rest time.Duration // how long a connection may idle and be used again
 	most int64         // bound on one answer, head and body
 	mu   sync.Mutex
-	idle map[string][]*line
+	idle map[string][]*line // worker to its connections
 	all  map[*line]bool
 }
 
 // line is one connection to a worker.
 type line struct {
-	c     net.Conn
-	lim   io.LimitedReader
-	r     *bufio.Reader
-	w     *bufio.Writer
-	since time.Time
-	woke  chan bool // the idle watch's last word: still good
+	c            net.Conn
+	worker, addr string
+	lim          io.LimitedReader
+	r            *bufio.Reader
+	w            *bufio.Writer
+	since        time.Time
+	woke         chan bool // the idle watch's last word: still good
 }
 
 func newWay(n env.Net, g *task.Group, rest time.Duration, most int64) *way {
 	return &way{net: n, g: g, rest: rest, most: most, idle: map[string][]*line{}, all: map[*line]bool{}}
 }
 
-// take gives a connection: a kept one that was good a moment ago, or a new
-// one. An error means that none stood, so nothing can have been sent.
-func (y *way) take(ctx context.Context, addr string) (*line, error) {
+// take gives a connection to a worker: a kept one that was good a moment ago,
+// or a new one. An error means that no job can have been sent.
+func (y *way) take(ctx context.Context, worker, addr string) (*line, error) {
 	for {
 		y.mu.Lock()
-		l := y.idle[addr]
+		l := y.idle[worker]
 		var k *line
 		if n := len(l); n > 0 {
 			k = l[n-1]
-			y.idle[addr] = l[:n-1]
+			y.idle[worker] = l[:n-1]
 		}
 		y.mu.Unlock()
 		if k == nil {
@@ -62,22 +63,12 @@
 		}
 		y.drop(k)
 	}
-	c, err := y.net.Dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	k := &line{c: c, w: bufio.NewWriter(c), woke: make(chan bool, 1)}
-	k.lim.R = c
-	k.r = bufio.NewReader(&k.lim)
-	y.mu.Lock()
-	y.all[k] = true
-	y.mu.Unlock()
-	return k, nil
+	return y.open(ctx, worker, addr)
 }
 
 // keep puts a connection by. A watch reads on it meanwhile: a worker that
 // closes it is noticed at once, and not by the next job.
-func (y *way) keep(addr string, k *line) {
+func (y *way) keep(k *line) {
 	k.since = time.Now()
 	k.lim.N = 1
 	_ = k.c.SetDeadline(time.Time{})
@@ -87,7 +78,7 @@
 		good := is && late.Timeout()
 		k.woke <- good
 		if !good {
-			y.forget(addr, k)
+			y.forget(k)
 		}
 	})
 	if !ok {
@@ -96,15 +87,15 @@
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	y.idle[addr] = append(y.idle[addr], k)
+	y.idle[k.worker] = append(y.idle[k.worker], k)
 }
 
 // forget drops a connection that died while it idled.
-func (y *way) forget(addr string, k *line) {
+func (y *way) forget(k *line) {
 	y.mu.Lock()
-	for i, o := range y.idle[addr] {
+	for i, o := range y.idle[k.worker] {
 		if o == k {
-			y.idle[addr] = append(y.idle[addr][:i:i], y.idle[addr][i+1:]...)
+			y.idle[k.worker] = append(y.idle[k.worker][:i:i], y.idle[k.worker][i+1:]...)
 			break
 		}
 	}
@@ -123,7 +114,7 @@
 func (y *way) sweep() {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	for addr, l := range y.idle {
+	for worker, l := range y.idle {
 		var stay []*line
 		for _, k := range l {
 			if time.Since(k.since) < y.rest {
@@ -135,9 +126,9 @@
 			}
 		}
 		if len(stay) == 0 {
-			delete(y.idle, addr)
+			delete(y.idle, worker)
 		} else {
-			y.idle[addr] = stay
+			y.idle[worker] = stay
 		}
 	}
 }
@@ -153,11 +144,11 @@
 
 // send writes a request once and reads the answer whole, within the time. The
 // answer is nil when anything at all went wrong.
-func (y *way) send(k *line, addr string, r *http.Request, end time.Time) (*http.Response, []byte, error) {
+func (y *way) send(k *line, r *http.Request, end time.Time) (*http.Response, []byte, error) {
 	good := false
 	defer func() {
 		if good {
-			y.keep(addr, k)
+			y.keep(k)
 		} else {
 			y.drop(k)
 		}
--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -28,6 +28,7 @@
 	Garble float64       // part of the answers garbled
 	Fail   float64       // part answered 500
 	Busy   float64       // part refused with a word that it did not run
+	Naive  bool          // doesn't look whom a job is for
 }
 
 // Worker is a worker of one service.
@@ -43,7 +44,7 @@
 	w                 Way
 	say               string
 	left              time.Time // when it said that it is leaving
-	now, most         int
+	now, most, runs   int
 	calls             func(left string) // a nested call, with the time left
 }
 
@@ -124,6 +125,13 @@
 // Kill ends the worker at once.
 func (k *Worker) Kill() { k.g.Stop() }
 
+// Ran tells how many jobs it ran.
+func (k *Worker) Ran() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.runs
+}
+
 // Most tells how many jobs it ran at once at the most.
 func (k *Worker) Most() int {
 	k.mu.Lock()
@@ -139,14 +147,20 @@
 	from := time.Now()
 	body, _ := io.ReadAll(r.Body)
 	attempt, job := r.Header.Get(seal.Attempt), r.Header.Get(seal.Job)
-	// A job meant for another identity is refused unseen.
-	if r.Header.Get(seal.Worker) != k.ID {
-		k.send(w, attempt, http.StatusMisdirectedRequest, []byte("not me"))
-		return
-	}
 	k.mu.Lock()
 	way, left := k.w, k.left
 	k.mu.Unlock()
+	// A job meant for another identity is refused unseen, but that it got here
+	// at all counts.
+	if r.Header.Get(seal.Worker) != k.ID {
+		if k.obs != nil {
+			k.obs.Blame(Stranger, r.Header.Get("X-Call")+" for "+r.Header.Get(seal.Worker)+" arrived at "+k.ID)
+		}
+		if !way.Naive {
+			k.send(w, attempt, http.StatusMisdirectedRequest, []byte("not me"))
+			return
+		}
+	}
 	if rand.Float64() < way.Busy {
 		w.Header().Set(seal.Ran, "no")
 		k.send(w, attempt, http.StatusServiceUnavailable, []byte("busy"))
@@ -154,6 +168,7 @@
 	}
 	k.mu.Lock()
 	k.now++
+	k.runs++
 	k.most = max(k.most, k.now)
 	k.mu.Unlock()
 	defer func() {
