A renewal never shortens a lock, so no two hold it by their own count

Cause: a renewal set the time to live to what it asked for. An owner whose renewal for less time had no answer went by the longer time it was promised before, while the store let the lock go. Ruled out: the writer's clocks, which start after the client's; a new writer, which lets all leases run in full; a frozen writer, whose expiry no majority takes.

--- a/internal/ledger/coord.go
+++ b/internal/ledger/coord.go
@@ -91,7 +91,9 @@
 		s.Fence++
 		l = Lock{Owner: c.Owner, Fence: s.Fence}
 	}
-	l.TTL = c.TTL
+	// A renewal never takes time away: its outcome may be unknown to the owner,
+	// who then goes by the time that it had before.
+	l.TTL = max(l.TTL, c.TTL)
 	l.Renew++
 	s.Locks[c.Name] = l
 	return Receipt{Code: OK, Lock: &l}
