A round that a freeze fell into does not tell that all are out of touch

Cause: a front frozen in the middle of its round over all control nodes took the round for unanswered when it woke, and acted on its old version as one out of touch may. Ruled out: its last confirmation, which was over the bound; the push, which was read a moment later. The round now counts from its beginning and must have begun after the newest freeze. New tests freeze fronts, writers, registries and core machines, cut nodes one way, delay by seconds and push an older version late.

--- a/internal/proxy/touch.go
+++ b/internal/proxy/touch.go
@@ -21,7 +21,7 @@
 	at    string    // the control node of the session
 	core  []string  // all control nodes known
 	sure  time.Time // when the configuration held here was last the newest, for certain
-	out   time.Time // when every control node was last found out of touch
+	out   time.Time // when the newest round began that found every control node out of touch
 	lost  bool
 	turn  chan struct{}
 	kick  chan struct{}
@@ -74,7 +74,7 @@
 	}
 	// All are asked at once: within the bound it must be known whether any is
 	// in touch. The first good answer becomes the session.
-	found := ""
+	found, began := "", time.Now()
 	round, end := context.WithTimeout(ctx, t.x.P.Patience())
 	defer end()
 	ballot.Poll(round, t.x.g, core, func(ctx context.Context, to string) (bool, error) {
@@ -90,7 +90,7 @@
 	was2 := t.lost
 	t.lost = found == ""
 	if t.lost {
-		t.out = time.Now()
+		t.out = began
 		t.core = union(t.x.P.Seeds, t.core)
 	}
 	t.stir()
@@ -201,12 +201,14 @@
 // fresh tells whether the node may act: the configuration it holds was the
 // newest a moment ago, or it has just found every control node out of touch.
 func (t *touch) fresh() bool {
+	woke := t.x.pulse.Woke()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if time.Since(t.sure) <= t.x.P.Fresh() {
 		return true
 	}
-	return t.lost && time.Since(t.out) <= t.x.P.Fresh()
+	// A round that a freeze fell into says nothing: its answers may wait unread.
+	return t.lost && t.out.After(woke) && time.Since(t.out) <= t.x.P.Fresh()
 }
 
 // confirm waits until the node may act, or the context ends. A node that was
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -63,6 +63,18 @@
 	return nil
 }
 
+// hosts lists all machines of the fleet.
+func (f *Fleet) hosts() []string {
+	var out []string
+	for _, c := range f.Cores {
+		out = append(out, c.Host)
+	}
+	for _, n := range f.Nodes {
+		out = append(out, n.Host)
+	}
+	return out
+}
+
 // cutArea cuts all machines of an area off from those of the others.
 func (f *Fleet) cutArea(area string, on bool) {
 	where := map[string]string{}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -20,7 +20,8 @@
 	areas map[string]string // host to area
 	cut   map[[2]string]bool
 	turn  chan struct{}
-	ices  map[string]*ice // process to its ice
+	lag   map[string]time.Duration // host to what its bytes take besides
+	ices  map[string]*ice          // process to its ice
 	rnd   *rand.Rand
 	near  time.Duration
 	far   time.Duration
@@ -30,7 +31,7 @@
 
 // NewNet makes a network with the delay within and between areas.
 func NewNet(seed uint64, near, far time.Duration) *Net {
-	return &Net{ices: map[string]*ice{}, ears: map[string]*ear{}, ends: map[*pipe]bool{}, areas: map[string]string{},
+	return &Net{lag: map[string]time.Duration{}, ices: map[string]*ice{}, ears: map[string]*ear{}, ends: map[*pipe]bool{}, areas: map[string]string{},
 		cut: map[[2]string]bool{}, turn: make(chan struct{}), rnd: rand.New(rand.NewPCG(seed, 7)), near: near, far: far}
 }
 
@@ -94,7 +95,14 @@
 	if n.areas[from] != n.areas[to] {
 		d = n.far
 	}
-	return d + time.Duration(n.rnd.Int64N(int64(d)/4+1))
+	return d + n.lag[from] + n.lag[to] + time.Duration(n.rnd.Int64N(int64(d)/4+1))
+}
+
+// Lag makes all bytes from and to a host late.
+func (n *Net) Lag(h string, d time.Duration) {
+	n.mu.Lock()
+	n.lag[h] = d
+	n.mu.Unlock()
 }
 
 func (n *Net) weigh(from, to string, size int) {
--- /dev/null
+++ b/internal/sim/thaw_test.go
@@ -0,0 +1,176 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/session"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+// TestFrozenFront: a front is frozen while changes are acknowledged, and wakes
+// with callers' jobs and hand-overs unread: it acts on none of them by what it
+// held before.
+func TestFrozenFront(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := Fumettoteca(0.3)
+		s.Nodes = 6
+		f := NewFleet(t, s, 340)
+		defer f.Stop()
+		f.Start()
+		wait := f.Load(s.Lines, 22*time.Second)
+		for i := range 4 {
+			n := f.Nodes[i]
+			f.Net.Freeze("node-"+n.Host, true)
+			Wait(200 * time.Millisecond)
+			if code, _ := f.Apply(f.Nodes[5].Host+":7003", uint64(i+1), s.Doc); code != 200 {
+				t.Fatalf("apply answered %d", code)
+			}
+			Wait(2300 * time.Millisecond)
+			f.aim(n, 20)
+			f.Net.Freeze("node-"+n.Host, false)
+			Wait(2 * time.Second)
+		}
+		wait()
+		f.Judge()
+	})
+}
+
+// TestFrozenCore: the writer, a registry, the steward's and judge's processes
+// and whole core machines are frozen and wake, while callers and applications
+// go on; nothing is given twice or read old, and service is there meanwhile.
+func TestFrozenCore(t *testing.T) {
+	t.Parallel()
+	for i, what := range []string{"store", "core", "both", "two registries"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := Fumettoteca(0.15)
+				s.Nodes = 6
+				f := NewFleet(t, s, uint64(i)+350)
+				defer f.Stop()
+				f.Start()
+				k := f.keep()
+				wait := f.Load(s.Lines, 36*time.Second)
+				apps := f.apps(36 * time.Second)
+				for round := range 4 {
+					Wait(1500 * time.Millisecond)
+					c := f.mark(f.Writer())
+					set := func(on bool) {
+						if what != "core" && what != "two registries" {
+							f.Net.Freeze("store-"+c.Host, on)
+						}
+						if what != "store" {
+							f.Net.Freeze("core-"+c.Host, on)
+						}
+						if what == "two registries" {
+							f.Net.Freeze("core-"+f.Cores[round%3].Host, on)
+						}
+					}
+					set(true)
+					Wait(time.Duration(300+round*1200) * time.Millisecond)
+					if what == "store" || what == "both" {
+						f.serves(6 * time.Second)
+					}
+					set(false)
+					f.serves(6 * time.Second)
+				}
+				f.Until(10*time.Second, "all stores are ready", f.coreReady)
+				f.Until(10*time.Second, "all is whole", f.Whole)
+				wait()
+				apps()
+				f.still(k)
+				f.Judge()
+				if n := f.Obs.Counts(); n["done"] < n["calls"]*99/100 {
+					t.Errorf("jobs noticed a frozen core: %v", n)
+				}
+			})
+		})
+	}
+}
+
+// TestStepBack: a late word of an older version, by push, changes nothing.
+func TestStepBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, small(), 360)
+		defer f.Stop()
+		f.Start()
+		n := f.Nodes[0]
+		for v := range 2 {
+			if code, _ := f.Apply(n.Host+":7003", uint64(v+1), f.S.Doc); code != 200 {
+				t.Fatalf("apply answered %d", code)
+			}
+		}
+		g := task.New(t.Context())
+		late := wire.NewNode(wire.Hello{Mesh: "puffin", Node: "late", Area: "north", Role: "registry"}, f.env("late", "10.0.9.5", "north", &n.skew), g, 1<<20, 4, time.Second)
+		if _, err := wire.Ask[struct{}](t.Context(), late, n.Host+":7002", "config.push", session.Push{Version: 2, Doc: []byte(f.S.Doc)}); err != nil {
+			t.Fatal(err)
+		}
+		for range 20 {
+			if _, own := f.Get(n.Host+":7003", "/puffin/own"); own["config_version"] != 3.0 {
+				t.Errorf("the node acts on version %v after 3", own["config_version"])
+			}
+			Wait(20 * time.Millisecond)
+		}
+		late.Close()
+		g.Stop()
+	})
+}
+
+// TestHalfOpen: nodes are cut off one way only, and links delay by seconds:
+// the bounds on changes hold for whoever is in touch, and nothing runs twice.
+func TestHalfOpen(t *testing.T) {
+	t.Parallel()
+	for i, what := range []string{"nobody hears it", "it hears nobody", "delay of seconds"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := Ingenzi(0.3)
+				s.Nodes = 6
+				f := NewFleet(t, s, uint64(i)+370)
+				defer f.Stop()
+				f.Start()
+				wait := f.Load(s.Lines, 30*time.Second)
+				for round := range 3 {
+					n := f.Nodes[round]
+					from := time.Now()
+					set := func(on bool) {
+						for _, o := range append(f.hosts(), "10.0.9.8") {
+							switch {
+							case o == n.Host || what != "delay of seconds" && o == "10.0.9.8":
+							case what == "nobody hears it":
+								f.Net.Cut(n.Host, o, on)
+							case what == "it hears nobody":
+								f.Net.Cut(o, n.Host, on)
+							default:
+								f.Net.Lag(n.Host, map[bool]time.Duration{true: 1500 * time.Millisecond}[on])
+							}
+						}
+					}
+					set(true)
+					Wait(time.Second)
+					if code, _ := f.Apply(f.Nodes[5].Host+":7003", uint64(round+1), s.Doc); code != 200 {
+						t.Errorf("apply answered %d", code)
+					}
+					Wait(4 * time.Second)
+					set(false)
+					f.Until(10*time.Second, "all is whole", f.Whole)
+					Wait(time.Second)
+					f.Obs.Lost(n.Host+":8000", from, time.Now())
+				}
+				wait()
+				f.Judge()
+				n := f.Obs.Counts()
+				t.Log(fmt.Sprint(n))
+				if n["done"] < n["calls"]*8/10 {
+					t.Errorf("too few were done: %v", n)
+				}
+			})
+		})
+	}
+}
