Retry-After is worked out from what the given-up job lacked

Cause: it was always 1, whatever was missing: a full queue, a repeat, word of a worker, a vacant duty. One wait had no bound of its own, the confirmation of the configuration; it now has a round over all control nodes and half of the time left. A front sees its own worker's shut door without a send.

--- a/internal/class/room.go
+++ b/internal/class/room.go
@@ -170,10 +170,19 @@
 
 // hope guesses how long a class's queue takes to reach a new waiter.
 func (r *Room) hope(class string, ahead int) time.Duration {
-	turns := max(r.floor[class], 1)
+	// What it has borrowed goes on for a while: the next free slots are as
+	// likely its own as they were.
+	turns := max(r.floor[class], r.used[class], 1)
 	return r.each * time.Duration(ahead) / time.Duration(turns)
 }
 
+// Drain guesses when a class's queue will have let in all who wait now.
+func (r *Room) Drain(class string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hope(class, len(r.wait[class])+1)
+}
+
 func (r *Room) give(class string) {
 	r.used[class]++
 	r.total++
--- a/internal/outer/outer.go
+++ b/internal/outer/outer.go
@@ -9,6 +9,7 @@
 	"io"
 	stdlog "log"
 	"net/http"
+	"strconv"
 	"time"
 
 	"puffincrank/internal/env"
@@ -43,9 +44,18 @@
 	Wrong   string `json:"wrong"`
 	Version uint64 `json:"version,omitempty"`
 	Ran     string `json:"ran,omitempty"`
+	Retry   int64  `json:"retry_ms,omitempty"`
 	Faults  any    `json:"faults,omitempty"`
 }
 
+// Busy answers that nothing was done and never will be, and tells when to come
+// back: after the time that what was lacking needs.
+func Busy(w http.ResponseWriter, why string, come time.Duration) {
+	ms := max(come.Milliseconds(), 1)
+	w.Header().Set("Retry-After", strconv.FormatInt((ms+999)/1000, 10))
+	JSON(w, http.StatusServiceUnavailable, Wrong{Wrong: why, Ran: "no", Retry: ms})
+}
+
 // Body reads a bounded body; the status tells what is wrong with it.
 func Body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, int) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -32,6 +32,7 @@
 	back    session.Back
 	unknown *session.Back // the first attempt that may have run
 	why     string
+	come    time.Duration // when the caller may come back, as the last refusal had it
 }
 
 // front takes a caller's job: read, match, then the steps of its path.
@@ -41,12 +42,12 @@
 	j := &job{id: fmt.Sprintf("%s.%s.%d", x.P.Node, x.boot, x.seq.Add(1)), req: r, from: time.Now(), tried: map[string]bool{}}
 	w.Header().Set(seal.Job, j.id)
 	if !x.Open() {
-		x.busyNow(w, "this node is not taking jobs: "+x.life.Now())
+		x.busyNow(w, "this node is not taking jobs: "+x.life.Now(), x.P.Leave)
 		return
 	}
 	// The load that one front takes at once is bounded like all else.
 	if now > int64(x.P.Jobs) {
-		x.busyNow(w, "this node has too many jobs under way")
+		x.busyNow(w, "this node has too many jobs under way", x.P.Beat())
 		return
 	}
 	if code, why := x.read(w, j); code != 0 {
@@ -57,7 +58,7 @@
 	ctx, stop := context.WithDeadline(r.Context(), j.end)
 	defer stop()
 	if !x.touch.confirm(ctx) {
-		x.busyNow(w, "this node can't confirm its configuration")
+		x.busyNow(w, "this node can't confirm its configuration", x.P.Change)
 		return
 	}
 	// Matched only now: the configuration is the newest for certain.
@@ -107,12 +108,11 @@
 }
 
 // busyNow gives the busy answer: the job was not run and never will be.
-func (x *Proxy) busyNow(w http.ResponseWriter, why string) {
+func (x *Proxy) busyNow(w http.ResponseWriter, why string, come time.Duration) {
 	w.Header().Set(seal.Ran, "no")
-	// The caller is told when to come back rather than held here.
-	w.Header().Set("Retry-After", "1")
 	w.Header().Set(seal.Why, why)
-	outer.JSON(w, http.StatusServiceUnavailable, outer.Wrong{Wrong: "busy, try later: " + why, Ran: "no"})
+	// The caller is told when to come back rather than held here.
+	outer.Busy(w, "busy, try later: "+why, come)
 }
 
 // receipt answers the caller.
@@ -140,7 +140,7 @@
 		w.Header().Set(seal.Ran, "unknown")
 		outer.JSON(w, code, outer.Wrong{Wrong: "outcome unknown: " + j.unknown.Why, Ran: "unknown"})
 	default:
-		x.busyNow(w, j.why)
+		x.busyNow(w, j.why, j.come)
 	}
 }
 
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -63,6 +63,9 @@
 		got, err := wire.Ask[session.OuterBack](ctx, x.n, to, "outer.call", in)
 		if err == nil {
 			w.Header().Set("Content-Type", "application/json")
+			if got.Come != "" {
+				w.Header().Set("Retry-After", got.Come)
+			}
 			w.WriteHeader(got.Status)
 			_, _ = w.Write(got.Body)
 			return
@@ -73,8 +76,7 @@
 			return
 		}
 	}
-	w.Header().Set("Retry-After", "1")
-	outer.JSON(w, http.StatusServiceUnavailable, outer.Wrong{Wrong: "no control node can be reached; nothing was done", Ran: "no"})
+	outer.Busy(w, "no control node can be reached; nothing was done", x.P.Change)
 }
 
 // Status is what a proxy says of itself.
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -54,8 +54,11 @@
 	return v.back
 }
 
-func (v *visit) refuse(why string) bool {
-	v.back = session.Back{Kind: session.Refused, Why: why}
+func (v *visit) refuse(why string) bool { return v.later(why, 0) }
+
+// later refuses with a word on when there may be room.
+func (v *visit) later(why string, come time.Duration) bool {
+	v.back = session.Back{Kind: session.Refused, Why: why, Come: come.Milliseconds()}
 	return false
 }
 
@@ -128,16 +131,16 @@
 		return true
 	}
 	if s := v.gate.state.Now(); s != "up" {
-		return v.refuse("worker is " + s)
+		return v.later("worker is "+s, x.P.Missed())
 	}
-	return v.refuse("no fresh word of the worker")
+	return v.later("no fresh word of the worker", 2*x.P.WorkerBeat())
 }
 
 // admit takes a slot. Waiting is bounded by a part of the time left, so that
 // enough is left to run the job or to try elsewhere.
 func (x *Proxy) admit(ctx context.Context, v *visit) bool {
 	if why := v.gate.room.Enter(ctx, v.in.Class, time.Until(v.end)/2); why != class.In {
-		return v.refuse(why)
+		return v.later(why, v.gate.room.Drain(v.in.Class))
 	}
 	v.held, v.from = true, time.Now()
 	// The wait may have been long: all that could have changed is looked at
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -7,6 +7,7 @@
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
+	"puffincrank/internal/ormap"
 	"puffincrank/internal/replica"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/seal"
@@ -57,17 +58,25 @@
 		}
 		all := x.rep.Lookup(j.arm.Service)
 		e, ok := x.pick.Pick(all, j.tried)
+		// The own worker's door is seen from here: shut, it costs no send.
+		if ok && x.shutHere(e) {
+			x.pick.Done(e.Worker, -1, 0, true, false)
+			j.tried[e.Worker] = true
+			continue
+		}
 		if ok {
 			j.entry = e
 			break
 		}
 		if j.sends > 0 || j.looks >= replica.Retries || !x.rep.Pause(ctx, j.looks) {
 			if j.why == "" {
-				j.why = "no worker of " + j.arm.Service + " is up"
+				// One that starts is known everywhere after a beat or two.
+				j.why, j.come = "no worker of "+j.arm.Service+" is up", x.P.Missed()
 			}
 			return stop
 		}
 		j.looks++
+		j.tried = map[string]bool{}
 	}
 	if j.sends == 0 {
 		x.again.First(j.arm.Service)
@@ -76,11 +85,27 @@
 	if !x.again.Again(j.arm.Service) {
 		x.pick.Done(j.entry.Worker, -1, 0, true, false)
 		j.why += "; no repeats are left"
+		// Whoever comes back needs what the last refusal lacked; when that one
+		// named no time, what lacks is a repeat.
+		if j.come == 0 {
+			j.come = x.again.When(j.arm.Service)
+		}
 		return stop
 	}
 	return next
 }
 
+// shutHere tells that a worker is this node's own and takes nothing just now.
+func (x *Proxy) shutHere(e ormap.Entry) bool {
+	if e.Owner != x.P.Node {
+		return false
+	}
+	x.mu.Lock()
+	g := x.gates[e.Worker]
+	x.mu.Unlock()
+	return g == nil || !x.takes(g)
+}
+
 // handOver sends one attempt to the owner of the nominated worker.
 func (x *Proxy) handOver(ctx context.Context, j *job) verb {
 	j.sends++
@@ -121,7 +146,7 @@
 	case err == nil:
 	case fault.Is(err, fault.Unsent), fault.Is(err, fault.Refused):
 		x.pick.Shun(j.entry.Owner, x.P.Change/2)
-		return session.Back{Kind: session.Refused, Why: "owner can't be reached", Used: -1}
+		return session.Back{Kind: session.Refused, Why: "owner can't be reached", Come: (x.P.Change / 2).Milliseconds(), Used: -1}
 	default:
 		x.pick.Shun(j.entry.Owner, x.P.Change/2)
 		return session.Back{Kind: session.Unknown, Why: "no receipt from the owner", Late: ctx.Err() != nil, Used: -1}
@@ -143,6 +168,7 @@
 	case session.Refused:
 		// Certain that it did not run: another may have it.
 		j.why = j.back.Why
+		j.come = max(j.come, time.Duration(j.back.Come)*time.Millisecond)
 		if j.back.Rules && more {
 			x.rematch(ctx, j)
 		}
--- a/internal/proxy/touch.go
+++ b/internal/proxy/touch.go
@@ -211,9 +211,20 @@
 	return t.lost && t.out.After(woke) && time.Since(t.out) <= t.x.P.Fresh()
 }
 
-// confirm waits until the node may act, or the context ends. A node that was
-// frozen comes here before it takes or hands over another job.
+// confirm waits until the node may act. A node that was frozen comes here
+// before it takes or hands over another job. The wait is bounded by a round
+// over all control nodes and by half of the time left: then the job is given
+// up and says so at once.
 func (t *touch) confirm(ctx context.Context) bool {
+	if t.fresh() {
+		return true
+	}
+	wait := 2*t.x.P.Patience() + t.x.P.Beat()
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(end)/2)
+	}
+	ctx, end := context.WithTimeout(ctx, wait)
+	defer end()
 	for !t.fresh() {
 		t.mu.Lock()
 		turn := t.turn
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -34,7 +34,7 @@
 	if !now && base > 0 {
 		old, err := r.confirmed(ctx)
 		if err != nil {
-			failed(w, err)
+			r.failed(w, err)
 			return
 		}
 		if old.Version == base && r.rehearse(ctx, w, req, old, raw) {
@@ -47,7 +47,7 @@
 	}
 	got, err := r.stores.offer(ctx, "config.set", &ledger.SetConfig{Base: base, Doc: raw, Who: who(req), Why: why, Now: now})
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	if got.Code != ledger.OK {
@@ -96,7 +96,7 @@
 	from, _ := strconv.ParseUint(req.URL.Query().Get("version"), 10, 64)
 	got, err := r.stores.read(ctx, store.Query{What: "history", From: from})
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	type row struct {
--- a/internal/registry/coord.go
+++ b/internal/registry/coord.go
@@ -73,7 +73,7 @@
 	defer end()
 	got, err := r.stores.offer(ctx, kind, cmd)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	answer(w, got, body(got))
@@ -84,7 +84,7 @@
 	defer end()
 	got, err := r.stores.read(ctx, q)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	answer(w, got, body(got))
--- a/internal/registry/keys.go
+++ b/internal/registry/keys.go
@@ -91,7 +91,7 @@
 	wait = min(max(wait, 0), r.P.Change.Milliseconds())
 	got, err := r.stores.watch(ctx, store.Query{Name: q.Get("prefix"), From: from, Wait: wait})
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	if got.Code == ledger.Gone {
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -64,8 +64,7 @@
 		r.calls.Add(1)
 		defer r.calls.Add(-1)
 		if r.life.Is("shut") && req.URL.Path != "/puffin/ready" {
-			w.Header().Set("Retry-After", "1")
-			outer.JSON(w, http.StatusServiceUnavailable, outer.Wrong{Wrong: "this node is leaving; nothing was done", Ran: "no"})
+			outer.Busy(w, "this node is leaving; nothing was done", r.P.Leave)
 			return
 		}
 		next.ServeHTTP(w, req)
@@ -101,7 +100,7 @@
 	}
 	t := &taken{head: http.Header{}}
 	r.routes.ServeHTTP(t, req)
-	return session.OuterBack{Status: t.code, Body: t.buf.Bytes()}, nil
+	return session.OuterBack{Status: t.code, Body: t.buf.Bytes(), Come: t.head.Get("Retry-After")}, nil
 }
 
 // timed bounds an outside call.
@@ -115,10 +114,10 @@
 
 // failed answers for an error of the stores: 503 when nothing was proposed,
 // 504 when the outcome is unknown.
-func failed(w http.ResponseWriter, err error) {
+func (r *Registry) failed(w http.ResponseWriter, err error) {
 	if fault.Is(err, fault.Refused) && !fault.Is(err, fault.Unknown) {
-		w.Header().Set("Retry-After", "1")
-		outer.JSON(w, http.StatusServiceUnavailable, outer.Wrong{Wrong: "no majority of the stores: nothing was done", Ran: "no"})
+		// A vacant duty is won again after a lease and up to half of one.
+		outer.Busy(w, "no majority of the stores: nothing was done", r.P.Lease()*3/2)
 		return
 	}
 	outer.JSON(w, http.StatusGatewayTimeout, outer.Wrong{Wrong: "outcome unknown: read back to find out", Ran: "unknown"})
@@ -138,7 +137,7 @@
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "config"})
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	out := map[string]any{"version": got.Version}
--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -154,7 +154,7 @@
 	id := chi.URLParam(req, "id")
 	got, err := r.stores.ask(ctx, "store.remove", store.RemoveAsk{ID: id}, false)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	answer(w, got, map[string]any{"store": id})
--- a/internal/registry/trials.go
+++ b/internal/registry/trials.go
@@ -55,7 +55,7 @@
 	defer end()
 	now, err := r.confirmed(ctx)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	if now.Version != base {
@@ -107,7 +107,7 @@
 func (r *Registry) begin(ctx context.Context, w http.ResponseWriter, req *http.Request, c *ledger.Propose) {
 	got, err := r.stores.offer(ctx, "trial.propose", c)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	if got.Code != ledger.OK {
@@ -139,7 +139,7 @@
 	defer end()
 	now, err := r.confirmed(ctx)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	raw := chi.URLParam(req, "id")
@@ -172,7 +172,7 @@
 	defer end()
 	now, err := r.confirmed(ctx)
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	doc, err := rules.Settle(now.Doc, id, false)
@@ -182,7 +182,7 @@
 	}
 	got, err := r.stores.offer(ctx, "trial.decide", &ledger.Decide{ID: id, Base: now.Version, Doc: doc, State: ledger.Held, Why: "aborted by " + who(req), Who: who(req)})
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	if got.Code == ledger.OK {
@@ -210,7 +210,7 @@
 	}
 	got, err := wire.Ask[proxy.Status](ctx, r.n, at, "node.drain", proxy.DrainAsk{On: req.URL.Query().Get("undo") != "true"})
 	if err != nil {
-		failed(w, err)
+		r.failed(w, err)
 		return
 	}
 	outer.JSON(w, http.StatusOK, map[string]any{"node": node, "workers": got.Workers})
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -115,6 +115,26 @@
 		float64(two+1) <= 1.5*b.share*float64(one)+max(part, 1)
 }
 
+// When guesses how long until a repeat may be allowed: until the oldest one
+// that counts leaves its window.
+func (b *Budget) When(service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	r := b.at(service, now)
+	if b.may(r, now) {
+		return 0
+	}
+	// Without repeats in the window it is first sends that lack.
+	wait := b.window / 5
+	if short := cut(r.second, now.Add(-b.window/5)); len(short) > 0 {
+		wait = short[0].Add(b.window / 5).Sub(now)
+	} else if len(r.second) > 0 {
+		wait = r.second[0].Add(b.window).Sub(now)
+	}
+	return wait
+}
+
 // Counts gives the first and second sends within the window.
 func (b *Budget) Counts(service string) (first, second int) {
 	b.mu.Lock()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -70,6 +70,7 @@
 type OuterBack struct {
 	Status int    `msgpack:"s"`
 	Body   []byte `msgpack:"b"`
+	Come   string `msgpack:"c,omitempty"` // the Retry-After of a busy answer
 }
 
 // Tally is one front's count of one arm of a trial, since the front began.
@@ -120,5 +121,6 @@
 	Body   []byte              `msgpack:"b,omitempty"`
 	Seal   string              `msgpack:"e,omitempty"`
 	Worker string              `msgpack:"w,omitempty"`
-	Used   int                 `msgpack:"u"` // slots in use, -1 when not known
+	Come   int64               `msgpack:"o,omitempty"` // of a refusal: ms until there may be room
+	Used   int                 `msgpack:"u"`           // slots in use, -1 when not known
 }
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -115,12 +115,6 @@
 	n.mu.Unlock()
 }
 
-func (n *Net) forget(p *pipe) {
-	n.mu.Lock()
-	delete(n.ends, p)
-	n.mu.Unlock()
-}
-
 // Host is the network as one host sees it.
 func (n *Net) Host(h string) *Host { return n.Process(h, "") }
 
--- a/internal/sim/pipe.go
+++ b/internal/sim/pipe.go
@@ -198,3 +198,9 @@
 	}
 	return n.Home
 }
+
+func (n *Net) forget(p *pipe) {
+	n.mu.Lock()
+	delete(n.ends, p)
+	n.mu.Unlock()
+}
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -109,6 +109,7 @@
 	if err == nil {
 		out.Status, out.Ran = w.StatusCode, w.Header.Get(seal.Ran)
 		out.Version, _ = strconv.ParseUint(w.Header.Get(seal.Version), 10, 64)
+		out.Retry = w.Header.Get("Retry-After")
 		body, err := io.ReadAll(w.Body)
 		_ = w.Body.Close()
 		out.Body, out.Cut = string(body), err != nil
--- a/internal/stand/observer.go
+++ b/internal/stand/observer.go
@@ -31,7 +31,8 @@
 	Ran     string
 	Version uint64
 	Body    string
-	Cut     bool // the answer broke off after it began
+	Retry   string // when to come back, as the answer told
+	Cut     bool   // the answer broke off after it began
 }
 
 // Observer sees every run and every answer and counts what must never be.
@@ -135,3 +136,10 @@
 // oneOf tells whether a service is one of those that a call may reach, which
 // are several while a change is tried.
 func oneOf(want, service string) bool { return strings.Contains("/"+want+"/", "/"+service+"/") }
+
+// Calls gives all calls that ended so far.
+func (o *Observer) Calls() []Call {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]Call(nil), o.calls...)
+}
--- a/internal/stand/verdict.go
+++ b/internal/stand/verdict.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"encoding/json"
 	"fmt"
 	"sort"
 	"strings"
@@ -168,9 +169,10 @@
 	out := map[string]int{}
 	for _, c := range o.calls {
 		if c.Status != 200 {
-			why := strings.TrimSpace(c.Body)
-			if !strings.HasPrefix(why, "{") {
-				why = "the worker's own answer"
+			why := "the worker's own answer"
+			var said struct{ Wrong string }
+			if json.Unmarshal([]byte(c.Body), &said) == nil && said.Wrong != "" {
+				why = said.Wrong
 			}
 			out[fmt.Sprintf("%d %s", c.Status, why)]++
 		}
