--- a/internal/fleetrun/machines.go
+++ b/internal/fleetrun/machines.go
@@ -198,6 +198,9 @@
 	e := env.Real(id)
 	e.Log = event.New(id, nil)
 	w, err := stand.NewWorker(e, n.Service, id, n.Host+":9000", n.Host+":7003", r.S.Slots, stand.Way{Took: r.S.Took[n.Service]}, r.Obs)
+	if err == nil {
+		w.Nests(n.Host+":8000", r.S.Nested[n.Service])
+	}
 	n.Worker = w
 	return err
 }
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -28,6 +28,7 @@
 	Took     map[string]time.Duration
 	Doc      string
 	Lines    []stand.Line
+	Nested   map[string][]stand.Line // a service's own calls; Rate is their part of its jobs
 	Far      time.Duration
 }
 
@@ -179,5 +180,6 @@
 	if err != nil {
 		f.T.Fatalf("worker at %s: %v", n.Host, err)
 	}
+	w.Nests(n.Host+":8000", f.S.Nested[service])
 	n.Worker = w
 }
--- a/internal/sim/shapes.go
+++ b/internal/sim/shapes.go
@@ -27,6 +27,16 @@
 			s.Lines[i].Service = one + "/" + alt
 		}
 	}
+	nested := map[string][]stand.Line{}
+	for name, list := range s.Nested {
+		for _, l := range list {
+			if l.Service == one {
+				l.Service = one + "/" + alt
+			}
+			nested[name] = append(nested[name], l)
+		}
+	}
+	s.Nested = nested
 	return s
 }
 
@@ -39,7 +49,12 @@
 "paths":[{"name":"read","method":"GET","prefix":"/pages","service":"pages","class":"reading","left_ms":1000,"repeat":"safe"},
 {"name":"lend","method":"POST","prefix":"/loans","service":"lending","class":"desk","left_ms":1000},
 {"name":"scan","method":"POST","prefix":"/scans","service":"scans","class":"upload","left_ms":1000},
-{"name":"credit","method":"POST","prefix":"/credits","service":"scans","class":"desk","left_ms":800}]}`,
+{"name":"credit","method":"POST","prefix":"/credits","service":"scans","class":"desk","left_ms":800},
+{"name":"check","method":"POST","prefix":"/checks","service":"pages","class":"desk","left_ms":600},
+{"name":"lookup","method":"GET","prefix":"/lookups","service":"pages","class":"upload","left_ms":600,"repeat":"safe"}]}`,
+		Nested: map[string][]stand.Line{
+			"lending": {{Method: "POST", URI: "/checks/loan", Service: "pages", Rate: 0.4, Size: 50}},
+			"scans":   {{Method: "GET", URI: "/lookups/7", Service: "pages", Safe: true, Rate: 0.4}}},
 		Lines: []stand.Line{
 			{Method: "GET", URI: "/pages/7?side=2", Service: "pages", Safe: true, Rate: 450 * scale},
 			{Method: "POST", URI: "/loans/new", Service: "lending", Rate: 250 * scale, Size: 200},
@@ -56,7 +71,14 @@
 "paths":[{"name":"search","method":"GET","prefix":"/bookings","service":"bookings","class":"agents","left_ms":4000,"repeat":"safe"},
 {"name":"board","method":"POST","prefix":"/boarding","service":"boarding","class":"desks","left_ms":4000},
 {"name":"manifest","method":"GET","prefix":"/manifests","service":"manifests","class":"supervisors","left_ms":4000,"repeat":"safe"},
-{"name":"seatmap","method":"GET","prefix":"/seats","service":"seats","class":"agents","left_ms":12000,"repeat":"safe"}]}`,
+{"name":"seatmap","method":"GET","prefix":"/seats","service":"seats","class":"agents","left_ms":12000,"repeat":"safe"},
+{"name":"fares","method":"GET","prefix":"/fares","service":"manifests","class":"agents","left_ms":2000,"repeat":"safe"},
+{"name":"templates","method":"POST","prefix":"/templates","service":"manifests","class":"desks","left_ms":2000},
+{"name":"cabins","method":"GET","prefix":"/cabins","service":"bookings","class":"agents","left_ms":2000,"repeat":"safe"}]}`,
+		Nested: map[string][]stand.Line{
+			"bookings": {{Method: "GET", URI: "/fares/3", Service: "manifests", Safe: true, Rate: 0.2}},
+			"boarding": {{Method: "POST", URI: "/templates/pass", Service: "manifests", Rate: 0.3, Size: 60}},
+			"seats":    {{Method: "GET", URI: "/cabins/12", Service: "bookings", Safe: true, Rate: 0.5}}},
 		Lines: []stand.Line{
 			{Method: "GET", URI: "/bookings?q=x", Service: "bookings", Safe: true, Rate: 220 * scale},
 			{Method: "POST", URI: "/boarding/pass", Service: "boarding", Rate: 150 * scale, Size: 300},
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -23,6 +23,7 @@
 	Safe                 bool
 	Rate                 float64 // calls a second, over all callers
 	Size                 int     // bytes of body
+	Left                 string  // time left to hand on, in a nested call
 }
 
 // Callers send a steady mix of calls to all fronts, open-loop and bounded.
@@ -103,6 +104,9 @@
 		r.Body = io.NopCloser(bytes.NewReader(make([]byte, l.Size)))
 		r.ContentLength = int64(l.Size)
 	}
+	if l.Left != "" {
+		r.Header.Set(seal.Left, l.Left)
+	}
 	r.Header.Set("X-Call", id)
 	r.Header.Set("X-Service", l.Service)
 	w, err := c.way.RoundTrip(r)
--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -122,6 +122,24 @@
 	k.mu.Unlock()
 }
 
+// Nests makes a part of this worker's jobs call further services, through the
+// front beside it; the rate of a line is the part of the jobs that make it.
+func (k *Worker) Nests(front string, lines []Line) {
+	if len(lines) == 0 {
+		return
+	}
+	c := NewCallers(k.e, []string{front}, k.obs, 15*time.Second)
+	c.Name = "nested-" + k.ID + "-"
+	k.CallsTo(func(left string) {
+		for _, l := range lines {
+			if rand.Float64() < l.Rate {
+				l.Left = left
+				c.At(front, l)
+			}
+		}
+	})
+}
+
 // Kill ends the worker at once.
 func (k *Worker) Kill() { k.g.Stop() }
 
