--- a/internal/sim/busy_test.go
+++ b/internal/sim/busy_test.go
@@ -89,3 +89,48 @@
 		}
 	})
 }
+
+// TestNestedFull: with every room full, calls that hold a slot wait for slots
+// of other services. Nothing deadlocks: all ends within the time left, and
+// every room is empty afterwards.
+func TestNestedFull(t *testing.T) {
+	t.Parallel()
+	for i, s := range []Shape{Fumettoteca(1.2), Ingenzi(1.4)} {
+		t.Run(s.Services[0], func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s.Nodes = 8
+				// What the nested calls need is what there is least of.
+				s.Took["pages"], s.Took["manifests"] = 150*time.Millisecond, 900*time.Millisecond
+				f := NewFleet(t, s, uint64(i)+382)
+				defer f.Stop()
+				f.Start()
+				f.Load(s.Lines, 10*time.Second)()
+				Wait(time.Second)
+				f.Judge()
+				for _, n := range f.Nodes {
+					_, own := f.Get(n.Host+":7003", "/puffin/own")
+					for _, w := range own["workers"].([]any) {
+						if used := w.(map[string]any)["used"]; used != 0.0 {
+							t.Errorf("%v slots are in use after the load at %v", used, w)
+						}
+					}
+				}
+				longest, nested, busy := time.Duration(0), 0, 0
+				for _, c := range f.Obs.Calls() {
+					longest = max(longest, c.To.Sub(c.From))
+					if strings.HasPrefix(c.ID, "nested-") {
+						nested++
+						if c.Status == 503 {
+							busy++
+						}
+					}
+				}
+				t.Logf("%d nested calls, %d of them busy; the longest call took %v", nested, busy, longest)
+				if nested < 200 || busy == 0 || longest > 12*time.Second+200*time.Millisecond {
+					t.Errorf("%d nested calls, %d busy, longest %v", nested, busy, longest)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/same_test.go
@@ -0,0 +1,103 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/ctl"
+)
+
+// reads are the commands whose answers must not depend on the node asked.
+// Status, nodes, workers, classes and running trials show counts that move.
+var reads = []string{"config get", "history", "paths", "trials", "trials show 1", "lock list", "lock get l", "key list", "key get k", "number get n", "duties", "services"}
+
+// TestSameAnswer: every read command at every node, in both shapes, while the
+// writer changes and a node is cut off from a part of the core: what is
+// answered is equal at all nodes, or refused honestly; nothing else.
+func TestSameAnswer(t *testing.T) {
+	t.Parallel()
+	for i, s := range []Shape{WithAlt(Fumettoteca(0.1)), WithAlt(Ingenzi(0.1))} {
+		t.Run(s.Services[0], func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := NewFleet(t, s, uint64(i)+390)
+				defer f.Stop()
+				f.Start()
+				at := f.Nodes[0].Host + ":7003"
+				for _, c := range []string{"lock acquire l --owner x --ttl-ms 600000", "key put k v", "number next n",
+					"propose " + pathOf(s) + " --based-on 1 --service " + s.Services[0] + "2",
+					"trials abort 1"} {
+					if code, out, say := f.ctl(at, strings.Fields(c)...); code != ctl.Fine {
+						t.Fatalf("%s: %d %s%s", c, code, out, say)
+					}
+				}
+				Wait(2 * time.Second)
+				var all []string
+				for _, h := range f.hosts() {
+					all = append(all, h+":7003")
+				}
+				refused := 0
+				round := func(when string) {
+					for _, cmd := range reads {
+						first, who := "", ""
+						answered := 0
+						for _, at := range all {
+							code, out, say := f.ctl(at, strings.Fields("--wait 3s "+cmd)...)
+							if code == ctl.Mute || code == ctl.Busy {
+								refused++
+								continue
+							}
+							answered++
+							if first == "" {
+								first, who = out, at
+							}
+							if code != ctl.Fine || out != first {
+								t.Errorf("%s: %s at %s (%d) differs from %s:\n%s%s\n%s", when, cmd, at, code, who, out, say, first)
+							}
+						}
+						if answered < len(all)/2 {
+							t.Errorf("%s: %s was answered by %d of %d nodes", when, cmd, answered, len(all))
+						}
+					}
+				}
+				round("calm")
+				calm := refused
+				c := f.mark(f.Writer())
+				n := f.Nodes[1]
+				for _, o := range f.Cores[:2] {
+					f.Net.Cut(n.Host, o.Host, true)
+					f.Net.Cut(o.Host, n.Host, true)
+				}
+				f.KillCore(c, true)
+				Wait(3 * time.Second)
+				all = all[:0]
+				for _, h := range f.hosts() {
+					if h != c.Host {
+						all = append(all, h+":7003")
+					}
+				}
+				round("a core machine away, a node cut off from two")
+				f.BackCore(c)
+				f.Until(10*time.Second, "all stores are ready", f.coreReady)
+				f.Net.Isolate(n.Host, false)
+				Wait(2 * time.Second)
+				f.Net.Freeze("store-"+f.mark(f.Writer()).Host, true)
+				Wait(2500 * time.Millisecond)
+				round("the writer frozen")
+				f.Net.Freeze("store-"+f.marked.Host, false)
+				t.Log(fmt.Sprintf("%d reads refused when calm, %d in all", calm, refused))
+				if calm > 0 {
+					t.Error("reads were refused with all well")
+				}
+			})
+		})
+	}
+}
+
+func pathOf(s Shape) string {
+	list := Read(s.Doc)["paths"].([]any)
+	return list[0].(map[string]any)["name"].(string)
+}
