A polite end says goodbye on its links, so a roll leaves no change unknown

Cause: while the duty of writer is vacant, registries go round all stores with the changes that wait. One sent in the last moment of a store that ends broke with its link, and a broken link is an unknown outcome, though the store would have refused it. Ruled out: offers under way in the old term, which the resignation waits for; offers settled before an outbid term ends, tried before and of no effect. Now fellows stop sending, what came is answered, then links close; registries and proxies do the same. The answer now also tells why an outcome is unknown.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -167,7 +167,7 @@
 	x.rest(ctx, func() int64 { return x.busy.Load() + x.owned.Load() })
 	x.signOff()
 	x.touch.bye()
-	task.Pause(ctx, x.P.Beat()/2)
+	x.n.Leave(x.P.Beat())
 	x.life.Fire("end")
 	x.Kill()
 	x.e.Log.Emit(event.Stopped, "program", "proxy")
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -215,7 +215,7 @@
 	for from := time.Now(); r.calls.Load() > 0 && time.Since(from) < r.P.Grace; {
 		task.Pause(r.g.Context(), r.P.Beat()/10)
 	}
-	task.Pause(r.g.Context(), r.P.Beat()/2)
+	r.n.Leave(r.P.Beat())
 	r.Kill()
 	r.e.Log.Emit(event.Stopped, "program", "registry")
 }
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -120,7 +120,7 @@
 		outer.Busy(w, "no majority of the stores: nothing was done", r.P.Lease()*3/2)
 		return
 	}
-	outer.JSON(w, http.StatusGatewayTimeout, outer.Wrong{Wrong: "outcome unknown: read back to find out", Ran: "unknown"})
+	outer.JSON(w, http.StatusGatewayTimeout, outer.Wrong{Wrong: "outcome unknown: read back to find out; " + err.Error(), Ran: "unknown"})
 }
 
 func (r *Registry) getReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/sim/node_test.go
+++ b/internal/sim/node_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"puffincrank/internal/event"
 	"puffincrank/internal/stand"
 )
 
@@ -115,6 +116,11 @@
 		s := Fumettoteca(0.1)
 		s.Nodes = 6
 		f := NewFleet(t, s, 42)
+		f.Log = func(e event.Entry) {
+			if testing.Verbose() && (e.Num/100 == 4 || e.Num/100 == 1) && !strings.HasPrefix(e.Node, "node") {
+				t.Log(e.Wall.Format("05.000"), e.Node, e.Name, e.Say)
+			}
+		}
 		defer f.Stop()
 		f.Start()
 		f.Polled = true
@@ -138,7 +144,11 @@
 		}
 		wait()
 		f.Judge()
-		for what, n := range apps().Done {
+		a := apps()
+		for _, l := range a.Lost {
+			t.Log(l)
+		}
+		for what, n := range a.Done {
 			// 404 and 409 are answers; all else would be an error.
 			if !strings.HasSuffix(what, " 200") && !strings.HasSuffix(what, " 404") && !strings.HasSuffix(what, " 409") {
 				t.Errorf("a planned roll was seen by applications: %d × %s", n, what)
--- a/internal/stand/coord.go
+++ b/internal/stand/coord.go
@@ -41,6 +41,7 @@
 	acks map[string]uint64          // key to the highest acknowledged revision
 	puts map[uint64]bool            // acknowledged revisions
 	Done map[string]int             // outcome to count
+	Lost []string                   // calls without a certain outcome, and why
 	Skip func(at string) bool       // nodes that nobody asks just now
 }
 
@@ -96,6 +97,11 @@
 		if err == nil {
 			out.code = w.StatusCode
 			_ = json.Unmarshal(raw, &out)
+			if out.code == http.StatusGatewayTimeout {
+				c.mu.Lock()
+				c.Lost = append(c.Lost, fmt.Sprintf("%s %s at %s until %s: %s", method, uri, at, time.Now().Format("05.000"), raw))
+				c.mu.Unlock()
+			}
 		}
 	}
 	c.mu.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -193,9 +193,7 @@
 	s.shut = true
 	s.mu.Unlock()
 	s.resign("stopping")
-	// Receipts on the way out get a moment to leave.
-	t := time.NewTimer(s.P.Beat())
-	<-t.C
+	s.n.Leave(s.P.Beat())
 	s.Kill()
 	s.e.Log.Emit(event.Stopped, "program", "store")
 }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -68,7 +68,9 @@
 		n.answer(l, f, nil, fault.New(fault.Refused, "kind %q is not spoken here", f.Kind))
 		return
 	}
+	n.under.Add(1)
 	ok := n.pool.Do(func(ctx context.Context) {
+		defer n.under.Add(-1)
 		if f.Left > 0 {
 			var end context.CancelFunc
 			ctx, end = context.WithTimeout(ctx, time.Duration(f.Left)*time.Millisecond)
@@ -79,6 +81,7 @@
 	})
 	// A full pool refuses for certain: the taker never saw the call.
 	if !ok {
+		n.under.Add(-1)
 		n.answer(l, f, nil, fault.New(fault.Refused, "full"))
 	}
 }
@@ -103,6 +106,7 @@
 			r.Bad = "stale"
 		}
 	}
+	l.owed.Add(1)
 	// A receipt must not be lost to a full queue while the link stands.
 	select {
 	case l.out <- r:
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -23,6 +23,10 @@
 	seen atomic.Int64 // when bytes last came in, in the node's monotonic time
 	mu   sync.Mutex
 	wait map[uint64]chan frame
+	owed atomic.Int64 // frames queued that have not been flushed
+
+	sending sync.Mutex // held while a call is queued, and to end that for good
+	gone    bool       // the fellow said goodbye
 }
 
 func (n *Node) newLink(conn net.Conn, far Hello) *link {
@@ -54,6 +58,7 @@
 func (l *link) write(ctx context.Context) {
 	defer l.shut()
 	w := bufio.NewWriter(l.conn)
+	ready := int64(0)
 	for {
 		select {
 		case f := <-l.out:
@@ -61,6 +66,7 @@
 			// once, and the last frame's deadline may be long over.
 			_ = l.conn.SetWriteDeadline(time.Now().Add(l.n.Patience))
 			size, err := put(w, f, l.n.Most)
+			ready++
 			if err != nil && fault.Is(err, fault.Input) {
 				l.fail(f)
 				continue
@@ -68,7 +74,10 @@
 			l.n.count(f.Kind+f.of, l.far.Area, size)
 			// Flush only when nothing more waits: many frames, one write.
 			if err == nil && len(l.out) == 0 {
-				err = w.Flush()
+				if err = w.Flush(); err == nil {
+					l.owed.Add(-ready)
+					ready = 0
+				}
 			}
 			if err != nil {
 				return
@@ -114,21 +123,32 @@
 			l.settle(f)
 			continue
 		}
+		if f.Kind == goodbye {
+			l.left(f)
+			continue
+		}
 		l.n.take(l, f)
 	}
 }
 
 // send queues a frame; false means that it certainly never went out.
 func (l *link) send(f frame) bool {
+	l.sending.Lock()
+	defer l.sending.Unlock()
 	select {
 	case <-l.done:
 		return false
 	default:
 	}
+	if l.gone {
+		return false
+	}
+	l.owed.Add(1)
 	select {
 	case l.out <- f:
 		return true
 	default:
+		l.owed.Add(-1)
 		return false
 	}
 }
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"puffincrank/internal/env"
@@ -32,6 +33,7 @@
 	all      map[*link]bool
 	ear      net.Listener
 	sizes    map[Flow]*Sum
+	under    atomic.Int64 // calls being handled
 }
 
 // Flow names a stream of bytes: the kind of message and whether it left the area.
@@ -141,13 +143,9 @@
 
 func (n *Node) drop(l *link) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	delete(n.all, l)
-	for a, d := range n.links {
-		if d.l == l {
-			delete(n.links, a)
-		}
-	}
+	n.mu.Unlock()
+	n.unlist(l)
 }
 
 // link gives the standing link to addr or dials one; callers that come
