--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -35,5 +35,5 @@
 
 	{"jobs-not-awaited", Planned, "internal/proxy/proxy.go", "	for under() > 0 && ctx.Err() == nil {", "	for under() > 1<<40 && ctx.Err() == nil {", "sim", "TestLongStop"},
 	{"shut-at-once", Planned, "internal/proxy/proxy.go", "	task.Pause(ctx, x.P.Leave)\n", "", "sim", "TestRoll"},
-	{"goodbye-not-heeded", Planned, "internal/wire/bye.go", "	l.gone = true\n", "	l.gone = false\n", "wire", "TestGoodbye"},
+	{"no-goodbye", Planned, "internal/wire/bye.go", "func (n *Node) Leave(long time.Duration) {\n", "func (n *Node) Leave(long time.Duration) {\n	if long > 0 {\n		return\n	}\n", "wire", "TestGoodbye"},
 }
