--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"puffincrank/internal/version"
 )
 
 type none struct{}
@@ -123,6 +126,11 @@
 
 // Run is Main over any network.
 func Run(argv []string, out, say io.Writer, dial Dial) int {
+	// 'config get' has a flag of the same name, which wants a number.
+	if slices.Contains(argv, "--version") && !slices.Contains(argv, "get") {
+		fmt.Fprintln(out, version.Line("puffinctl"))
+		return Fine
+	}
 	var a args
 	p, err := arg.NewParser(arg.Config{Program: "puffinctl", Out: out}, &a)
 	if err != nil {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -108,6 +108,7 @@
 	var w struct {
 		Wrong   string `json:"wrong"`
 		Version uint64 `json:"version"`
+		Retry   int64  `json:"retry_ms"`
 		Faults  []struct {
 			Place string `json:"place"`
 			Wrong string `json:"wrong"`
@@ -121,6 +122,9 @@
 	if w.Version > 0 {
 		fmt.Fprintf(say, "  the current version is %d\n", w.Version)
 	}
+	if w.Retry > 0 {
+		fmt.Fprintf(say, "  come back in %.1f s\n", float64(w.Retry)/1000)
+	}
 	for _, f := range w.Faults {
 		fmt.Fprintf(say, "  %s: %s\n", f.Place, f.Wrong)
 	}
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -108,6 +108,9 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	if out, err := exec.Command(filepath.Join(dir, "proxy"), "--version").Output(); err != nil || !strings.Contains(string(out), "wire ") {
+		t.Errorf("--version: %v %s", err, out)
+	}
 	run := exec.Command(filepath.Join(dir, "proxy"), "--node", "n1", "--area", "a b", "--inner", "localhost:1", "--outer", "127.0.0.1:2",
 		"--traffic", "127.0.0.1:3", "--seeds", "127.0.0.1:4,127.0.0.1:5", "--change-ms", "soon")
 	out, err := run.CombinedOutput()
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -18,6 +18,7 @@
 	"puffincrank/internal/disk"
 	"puffincrank/internal/env"
 	"puffincrank/internal/props"
+	"puffincrank/internal/version"
 )
 
 // Program is what a main runs.
@@ -29,6 +30,10 @@
 // Main runs a program until it is told to end; the result is the exit code:
 // 0 after a polite stop, 2 for bad props, 1 for a start that failed.
 func Main(name string, args []string, build func(props.Props, env.Env) (Program, error)) int {
+	if len(args) == 1 && args[0] == "--version" {
+		fmt.Println(version.Line(name))
+		return 0
+	}
 	p, bad, err := props.Load(name, args)
 	if errors.Is(err, arg.ErrHelp) {
 		return 0
