--- a/internal/wire/bye.go
+++ b/internal/wire/bye.go
@@ -18,12 +18,7 @@
 	if n.ear != nil {
 		_ = n.ear.Close()
 	}
-	n.mu.Lock()
-	var all []*link
-	for l := range n.all {
-		all = append(all, l)
-	}
-	n.mu.Unlock()
+	all := n.standing()
 	told := make(chan struct{}, len(all))
 	for _, l := range all {
 		if !n.g.Go("goodbye", func(context.Context) {
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -82,15 +82,20 @@
 	if n.ear != nil {
 		_ = n.ear.Close()
 	}
+	for _, l := range n.standing() {
+		l.shut()
+	}
+}
+
+// standing lists the links of now.
+func (n *Node) standing() []*link {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	var all []*link
 	for l := range n.all {
 		all = append(all, l)
 	}
-	n.mu.Unlock()
-	for _, l := range all {
-		l.shut()
-	}
+	return all
 }
 
 func (n *Node) bad(who string, err error) {
