One look at time and door before delivery, one way to find a gate

Read again: the last look before delivery wrote its own refusal over the one that open had made, and so lost its reason and its word on when to come back; the check of the time left stood twice; a connection was told a name that it has; the door to a worker was looked up in two places. No check or bound is changed.

--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -66,9 +66,9 @@
 		return v.refuse("no connection to the worker")
 	}
 	// The last look, now that nothing is waited for any more.
-	if !time.Now().Before(v.end) || !x.open(v) {
+	if !x.timely(v) || !x.open(v) {
 		x.way.keep(k)
-		return v.refuse("the door shut before delivery")
+		return false
 	}
 	// From here on the worker may have had the job, whatever an error says.
 	w, body, err := x.way.send(k, r, v.end)
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -47,6 +47,13 @@
 	return g
 }
 
+// gateOf finds the door to a worker, nil when it isn't this node's own.
+func (x *Proxy) gateOf(worker string) *gate {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gates[worker]
+}
+
 func (x *Proxy) allGates() []*gate {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -120,9 +120,7 @@
 }
 
 func (x *Proxy) checkGate(_ context.Context, v *visit) bool {
-	x.mu.Lock()
-	v.gate = x.gates[v.in.Worker]
-	x.mu.Unlock()
+	v.gate = x.gateOf(v.in.Worker)
 	if v.gate == nil || v.gate.service != v.in.Service {
 		v.gate = nil
 		return v.refuse("no such worker here")
@@ -130,6 +128,11 @@
 	return x.open(v)
 }
 
+// timely looks whether the attempt has time left to be delivered in.
+func (x *Proxy) timely(v *visit) bool {
+	return time.Now().Before(v.end) || v.refuse("no time left before delivery")
+}
+
 // open looks whether the gate's door is open just now.
 func (x *Proxy) open(v *visit) bool {
 	if x.takes(v.gate) {
@@ -150,8 +153,8 @@
 	v.held, v.from = true, time.Now()
 	// The wait may have been long: all that could have changed is looked at
 	// once more right before the job goes out.
-	if !time.Now().Before(v.end) {
-		return v.refuse("no time left before delivery")
+	if !x.timely(v) {
+		return false
 	}
 	if !x.touch.confirm(ctx, v.end) {
 		return v.refuse("owner can't confirm its configuration")
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -17,14 +17,14 @@
 
 // asks finds out who is at the other end of a connection. The connection
 // stays open only if the worker keeps it.
-func (k *line) asks(worker string, end time.Time) (named string, kept bool, err error) {
+func (k *line) asks(end time.Time) (named string, kept bool, err error) {
 	_ = k.c.SetDeadline(end)
 	k.lim.N = 64 << 10
 	r, err := http.NewRequest(http.MethodGet, "http://"+k.addr+"/puffin/fitness", nil)
 	if err != nil {
 		return "", false, err
 	}
-	r.Header.Set(seal.Worker, worker)
+	r.Header.Set(seal.Worker, k.worker)
 	if err := r.Write(k.w); err != nil {
 		return "", false, err
 	}
@@ -67,7 +67,7 @@
 			end = time.Now().Add(y.rest)
 		}
 		var named string
-		named, kept, err = k.asks(worker, end)
+		named, kept, err = k.asks(end)
 		if err == nil && named != worker {
 			err = errStranger
 		}
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -100,9 +100,7 @@
 	if e.Owner != x.P.Node {
 		return false
 	}
-	x.mu.Lock()
-	g := x.gates[e.Worker]
-	x.mu.Unlock()
+	g := x.gateOf(e.Worker)
 	return g == nil || !x.takes(g)
 }
 
