--- /dev/null
+++ b/internal/registry/app.go
@@ -0,0 +1,223 @@
+package registry
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/outer"
+	"puffincrank/internal/settings"
+	"puffincrank/internal/store"
+)
+
+// appRoutes are the applications' calls as resources.
+func (r *Registry) appRoutes(m chi.Router) {
+	m.Post("/puffin/app/locks/{name}", r.appTake)
+	m.Put("/puffin/app/locks/{name}", r.appHold)
+	m.Delete("/puffin/app/locks/{name}", r.appFree)
+	m.Post("/puffin/app/numbers/{name}", r.appNext)
+	m.Put("/puffin/app/keys/{name}", r.appPut)
+	m.Get("/puffin/app/keys/{name}", r.appGet)
+	m.Get("/puffin/app/watch/{name}", r.appWatch)
+}
+
+// byKey is under what a call's context says until when it may be proposed, if
+// it was read by another process.
+type byKey struct{}
+
+// appCall is one application's call as it was read.
+type appCall struct {
+	name string
+	v    settings.Values
+	by   time.Time // when it may last be proposed
+}
+
+// appRead reads the name and the body of a call. Fields that this program
+// doesn't know are passed over; an empty body counts as an empty object.
+func (r *Registry) appRead(w http.ResponseWriter, req *http.Request, tab settings.Table) (c appCall, ok bool) {
+	c.by = time.Now().Add(r.P.Late())
+	if by, is := req.Context().Value(byKey{}).(time.Time); is && by.Before(c.by) {
+		c.by = by
+	}
+	name, err := url.PathUnescape(chi.URLParam(req, "name"))
+	if err != nil || appName(name) != nil {
+		refuse(w, "the name "+badName{}.Error(), nil)
+		return c, false
+	}
+	c.name = name
+	if req.Method == http.MethodGet {
+		// Whatever body it has says nothing.
+		return c, true
+	}
+	raw, code := outer.Body(w, req, 256<<10)
+	if code != 0 {
+		outer.JSON(w, code, outer.Wrong{Wrong: "the body is over the bound or can't be read"})
+		return c, false
+	}
+	if len(raw) == 0 {
+		raw = []byte("{}")
+	}
+	in, bad, err := settings.Parse(raw)
+	if err != nil {
+		outer.JSON(w, http.StatusBadRequest, outer.Wrong{Wrong: "not JSON: " + err.Error()})
+		return c, false
+	}
+	v, more := tab.ReadKnown(in, "")
+	if bad = append(bad, more...); len(bad) > 0 {
+		refuse(w, "the body is wrong", bad)
+		return c, false
+	}
+	c.v = v
+	return c, true
+}
+
+// appChange offers a command; its receipt's code is given the status that
+// codes says, and body makes the answer.
+func (r *Registry) appChange(w http.ResponseWriter, req *http.Request, c appCall, kind string, cmd ledger.Command, codes map[string]int, body func(ledger.Receipt) map[string]any) {
+	// What is read right after a freeze may be as old as the freeze: its sender
+	// has turned elsewhere, and what it did there must not be undone.
+	if time.Since(r.pulse.Woke()) < r.P.Beat() {
+		outer.Busy(w, "frozen until just now; nothing was done", r.P.Beat())
+		return
+	}
+	ctx, end := r.timed(req)
+	defer end()
+	got, err := r.stores.offerBy(ctx, kind, cmd, c.by)
+	r.appAnswer(w, got, err, codes, body)
+}
+
+func (r *Registry) appAnswer(w http.ResponseWriter, got ledger.Receipt, err error, codes map[string]int, body func(ledger.Receipt) map[string]any) {
+	if err != nil {
+		r.failed(w, err)
+		return
+	}
+	if got.Code == ledger.Full {
+		outer.Busy(w, "nothing was done: "+got.Say, r.P.Change)
+		return
+	}
+	code := codes[got.Code]
+	if code == 0 {
+		code = http.StatusOK
+	}
+	out := body(got)
+	if code != http.StatusOK && got.Say != "" {
+		out["wrong"] = got.Say
+	}
+	outer.JSON(w, code, out)
+}
+
+// appTime is a time to live; a part of a millisecond counts as a whole one.
+func appTime(v settings.Values) int64 { return int64(math.Ceil(v.Share("ttl_ms"))) }
+
+func fenceBody(got ledger.Receipt) map[string]any {
+	if got.Code == ledger.OK && got.Lock != nil {
+		return map[string]any{"fence": got.Lock.Fence}
+	}
+	return map[string]any{}
+}
+
+func revBody(got ledger.Receipt) map[string]any { return map[string]any{"rev": got.Rev} }
+
+// appTake takes a lock; its holder keeps the fence and gets more time.
+func (r *Registry) appTake(w http.ResponseWriter, req *http.Request) {
+	if c, ok := r.appRead(w, req, TabTake); ok {
+		cmd := &ledger.TakeLock{Name: c.name, Owner: c.v.Text("owner"), TTL: appTime(c.v), Same: true}
+		r.appChange(w, req, c, "lock.take", cmd, map[string]int{ledger.Conflict: http.StatusConflict}, fenceBody)
+	}
+}
+
+func (r *Registry) appHold(w http.ResponseWriter, req *http.Request) {
+	if c, ok := r.appRead(w, req, TabHold); ok {
+		cmd := &ledger.TakeLock{Name: c.name, Owner: c.v.Text("owner"), TTL: appTime(c.v), Renew: true, Fence: uint64(c.v.Count("fence"))}
+		r.appChange(w, req, c, "lock.take", cmd, map[string]int{ledger.Conflict: http.StatusConflict, ledger.Absent: http.StatusConflict}, fenceBody)
+	}
+}
+
+// appFree gives a lock back. That it is not held any more is no fault.
+func (r *Registry) appFree(w http.ResponseWriter, req *http.Request) {
+	if c, ok := r.appRead(w, req, TabFree); ok {
+		cmd := &ledger.FreeLock{Name: c.name, Owner: c.v.Text("owner"), Fence: uint64(c.v.Count("fence"))}
+		r.appChange(w, req, c, "lock.free", cmd, nil, fenceBody)
+	}
+}
+
+func (r *Registry) appNext(w http.ResponseWriter, req *http.Request) {
+	if c, ok := r.appRead(w, req, TabNext); ok {
+		r.appChange(w, req, c, "number.next", &ledger.NextNumber{Name: c.name}, nil, func(got ledger.Receipt) map[string]any {
+			return map[string]any{"value": got.Number}
+		})
+	}
+}
+
+func (r *Registry) appPut(w http.ResponseWriter, req *http.Request) {
+	if c, ok := r.appRead(w, req, TabCell); ok {
+		rev, cond := c.v["if_rev"].(int64)
+		cmd := &ledger.PutCell{Name: c.name, Value: []byte(c.v.Text("value")), If: cond, Rev: uint64(rev)}
+		r.appChange(w, req, c, "cell.put", cmd, map[string]int{ledger.Conflict: http.StatusPreconditionFailed}, revBody)
+	}
+}
+
+func (r *Registry) appGet(w http.ResponseWriter, req *http.Request) {
+	c, ok := r.appRead(w, req, TabNext)
+	if !ok {
+		return
+	}
+	ctx, end := r.timed(req)
+	defer end()
+	got, err := r.stores.read(ctx, store.Query{What: "cell", Name: c.name})
+	r.appAnswer(w, got, err, map[string]int{ledger.Absent: http.StatusNotFound}, func(got ledger.Receipt) map[string]any {
+		if got.Key == nil {
+			return map[string]any{}
+		}
+		return map[string]any{"value": string(got.Key.Value), "rev": got.Key.Rev}
+	})
+}
+
+// appWatch is a long poll for the puts of a group above a revision.
+func (r *Registry) appWatch(w http.ResponseWriter, req *http.Request) {
+	c, ok := r.appRead(w, req, TabNext)
+	if !ok {
+		return
+	}
+	num := func(n string) uint64 {
+		s := req.URL.Query().Get(n)
+		if s == "" {
+			return 0
+		}
+		v, err := strconv.ParseUint(s, 10, 62)
+		ok = ok && err == nil
+		return v
+	}
+	after, wait := num("after"), time.Duration(min(num("wait_ms"), uint64(r.P.Return.Milliseconds())))*time.Millisecond
+	if !ok {
+		refuse(w, "after and wait_ms must be whole numbers", nil)
+		return
+	}
+	long := wait + 2*r.P.Change
+	// Over a link the time is bounded: what is left there ends the wait early.
+	if end, is := req.Context().Deadline(); is {
+		long = min(long, time.Until(end))
+		wait = max(min(wait, long-r.P.Patience()), 0)
+	}
+	ctx, end := context.WithTimeout(req.Context(), long)
+	defer end()
+	got, err := r.stores.puts(ctx, store.Query{What: "puts", Name: c.name, From: after}, wait, r.P.Change)
+	r.appAnswer(w, got, err, map[string]int{ledger.Gone: http.StatusGone}, func(got ledger.Receipt) map[string]any {
+		type line struct {
+			Name  string `json:"name"`
+			Value string `json:"value"`
+			Rev   uint64 `json:"rev"`
+		}
+		lines := []line{}
+		for _, c := range got.Changes {
+			lines = append(lines, line{c.Name, string(c.Value), c.Rev})
+		}
+		return map[string]any{"changes": lines, "rev": got.Rev}
+	})
+}
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -19,6 +19,10 @@
 // all of it does in an emergency.
 func (r *Registry) putConfig(w http.ResponseWriter, req *http.Request) {
 	q := req.URL.Query()
+	if q.Get("by") == "number" {
+		r.numberConfig(w, req)
+		return
+	}
 	base, err := strconv.ParseUint(q.Get("based_on"), 10, 64)
 	if err != nil {
 		refuse(w, "based_on must name the version that the document is based on", nil)
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -144,16 +144,13 @@
 	}
 	live := r.rep.Map().Live(nil)
 	r.mu.Lock()
-	here := map[string]string{}
-	for _, f := range r.list {
-		here[f.Node] = f.Start
-	}
+	here := r.roll.Book()
 	now := time.Now()
 	dead := map[string]bool{}
 	seen := map[string]bool{}
 	for _, e := range live {
 		seen[e.Owner] = true
-		if _, ok := here[e.Owner]; ok {
+		if here.Has(e.Owner) {
 			delete(r.away, e.Owner)
 		} else if t, ok := r.away[e.Owner]; !ok {
 			r.away[e.Owner] = now
--- /dev/null
+++ b/internal/registry/kept.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"context"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"puffincrank/internal/disk"
+	"puffincrank/internal/ormap"
+	"puffincrank/internal/wire"
+)
+
+// keptFile holds the registrations on this machine's disk. Nodes have none: when
+// all processes are lost at once, nobody else remembers which worker stands
+// beside which node, though the workers run on and beat only after a while.
+const keptFile = "workers"
+
+// kept is the file's content.
+type kept struct {
+	Mesh string      `msgpack:"m"`
+	All  ormap.Delta `msgpack:"a"`
+}
+
+// keep writes the live entries where they have changed. It is best effort: a
+// disk in trouble costs no more than what this file would have saved.
+func (r *Registry) keep(context.Context) {
+	now := ormap.Total(r.rep.Map().Digests())
+	if r.e.FS == nil || !r.life.Is("ready") || now == r.keptAs {
+		return
+	}
+	live := r.rep.Map().Live(nil)
+	if len(live) == 0 {
+		return
+	}
+	raw, err := msgpack.Marshal(kept{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live}.Pack()})
+	if err == nil && disk.Save(r.e.FS, keptFile, raw) == nil {
+		r.keptAs = now
+	}
+}
+
+// recall adds what the file holds to a replica that has nothing of it. Where a
+// fellow remembers any of it, it knows what was removed since, which the file
+// does not. Where fellows know about as many others, the file is of long ago, and
+// the graves of what it holds are forgotten; the few workers that beat before a
+// start was through say nothing of that.
+func (r *Registry) recall() {
+	if r.e.FS == nil {
+		return
+	}
+	raw, err := disk.Load(r.e.FS, keptFile)
+	var was kept
+	if err != nil || wire.Unpack(raw, &was) != nil || was.Mesh != r.P.Mesh {
+		return
+	}
+	all, err := was.All.Open()
+	if err != nil {
+		return
+	}
+	for _, e := range all.Adds {
+		if live, dead := r.rep.Map().Knows(e.Dot.Hash()); live || dead {
+			return
+		}
+	}
+	if 2*len(r.rep.Map().Live(nil)) >= len(all.Adds) {
+		return
+	}
+	r.rep.Recall(all)
+}
--- /dev/null
+++ b/internal/registry/mute_test.go
@@ -0,0 +1,82 @@
+package registry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/member"
+	"puffincrank/internal/props"
+	"puffincrank/internal/task"
+)
+
+// TestLeftOut: a control node that answers nothing for three beats is off the list
+// while the sessions that it told of stay; one that answers or speaks in between
+// stays on it, whatever was lost on the way, and one that speaks again is back.
+func TestLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const beat = 200 * time.Millisecond
+		x := member.Fellow{Node: "x", Inner: "hx:1", Role: "registry"}
+		make := func() (*Registry, *shared) {
+			r := &Registry{P: props.Props{Node: "c", Inner: "hc:1", Change: 10 * beat}, others: map[string]*shared{}, roll: member.NewRoll("c", 16)}
+			o := &shared{}
+			o.hears(x)
+			r.others["x"] = o
+			r.roll.Set("x", x)
+			r.roll.Set("x", member.Fellow{Node: "p", Role: "proxy"})
+			return r, o
+		}
+		step := func(r *Registry, began time.Time, ok bool) bool {
+			r.answered("hx:1", began, ok)
+			r.leaveOut()
+			return r.roll.Book().Has("x")
+		}
+		// pass lets a time go by before a word begins.
+		pass := func(d time.Duration) time.Time {
+			task.Pause(t.Context(), d)
+			return time.Now()
+		}
+		r, o := make()
+		for i := range 5 {
+			if on := step(r, pass(beat), false); on != (i < 3) {
+				t.Errorf("on the list %v, %d beats after the first word without an answer", on, i)
+			}
+			if n := len(r.doubted()); n != 1 && i < 3 || n != 0 && i >= 3 {
+				t.Errorf("%d asked at each beat after %d beats", n, i)
+			}
+		}
+		if !r.roll.Book().Has("p") {
+			t.Error("its sessions went with it")
+		}
+		o.hears(x)
+		r.roll.Set("x", x)
+		if !step(r, pass(beat), true) {
+			t.Error("it spoke and answered, and is not on the list")
+		}
+		// Answers in between.
+		r, _ = make()
+		for i := range 9 {
+			if !step(r, pass(beat), i%3 == 2) {
+				t.Errorf("off the list at %d though it answers now and then", i)
+			}
+		}
+		// Its own words come, the answers don't.
+		r, o = make()
+		for i := range 9 {
+			if i%3 == 2 {
+				o.hears(x)
+			}
+			if !step(r, pass(beat), false) {
+				t.Errorf("off the list at %d though it speaks", i)
+			}
+		}
+		// A word that was given up late began before one that was answered.
+		r, _ = make()
+		early := pass(beat)
+		step(r, pass(beat), true)
+		pass(4 * beat)
+		if !step(r, early, false) || len(r.doubted()) != 0 {
+			t.Error("an old word counts against a newer answer")
+		}
+	})
+}
--- /dev/null
+++ b/internal/registry/poll.go
@@ -0,0 +1,86 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"puffincrank/internal/event"
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/patch"
+	"puffincrank/internal/rules"
+	"puffincrank/internal/store"
+)
+
+// poll keeps the configuration here the newest: a confirmed read that waits a
+// little for a change, over and over.
+func (r *Registry) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		have := uint64(0)
+		if r.rules != nil {
+			have = r.rules.Version
+		}
+		// The first word is not waited for: nothing is served before it.
+		wait := r.P.Beat()
+		if r.sure.IsZero() {
+			wait = 0
+		}
+		r.mu.Unlock()
+		// Time for a second store when the first is mute.
+		one, end := context.WithTimeout(ctx, 2*r.P.Patience())
+		from := time.Now()
+		got, err := r.stores.read(one, store.Query{What: "config", From: have, Wait: wait.Milliseconds(), Patch: !r.whole})
+		end()
+		if err == nil && r.takeConfig(got) {
+			r.mu.Lock()
+			r.sure = from
+			r.trials, r.tries = got.Trials, got.Number
+			r.mu.Unlock()
+			r.fill(ctx)
+			continue
+		}
+		if !r.inTouch() && r.life.Fire("lost") {
+			r.e.Log.Emit(event.OutOfTouch, "with", "stores")
+		}
+		r.e.Pause(ctx, r.P.Beat()/4)
+	}
+}
+
+// takeConfig puts a newer configuration in force here and pushes it at once.
+func (r *Registry) takeConfig(got ledger.Receipt) bool {
+	r.mu.Lock()
+	have := uint64(0)
+	old := r.rules
+	if old != nil {
+		have = old.Version
+	}
+	r.mu.Unlock()
+	if got.Version <= have {
+		// A lower version than ours can't be confirmed by a majority.
+		return got.Version == have
+	}
+	steps := got.Steps
+	if got.Doc == nil {
+		doc, ok := r.held.Build(steps)
+		// Steps that do not fit are followed by the whole at the next poll.
+		if r.whole = !ok; !ok {
+			return false
+		}
+		got.Doc = doc
+	} else if _, old := r.held.Now(); have > 0 {
+		steps = []patch.Step{patch.Make(have, got.Version, old, got.Doc)}
+		r.whole = false
+	}
+	c, bad, err := rules.Next(old, got.Version, got.Doc)
+	if err != nil || len(bad) > 0 {
+		r.e.Log.Emit(event.ConfigBad, "version", got.Version, "faults", len(bad))
+		return false
+	}
+	r.mu.Lock()
+	r.held.Set(c.Version, c.Doc, steps)
+	r.rules = c
+	r.mu.Unlock()
+	r.e.Log.Emit(event.ConfigTaken, "version", c.Version)
+	r.push()
+	return true
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	mrand "math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,12 +19,13 @@
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/member"
 	"puffincrank/internal/outer"
+	"puffincrank/internal/patch"
 	"puffincrank/internal/props"
+	"puffincrank/internal/pulse"
 	"puffincrank/internal/replica"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/session"
 	"puffincrank/internal/state"
-	"puffincrank/internal/store"
 	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
@@ -40,34 +42,64 @@
 	stores *stores
 	routes http.Handler
 	calls  atomic.Int64 // outside calls under way
+	pulse  *pulse.Pulse
 	duties []*duty
 
 	mu     sync.Mutex
 	own    map[string]*seat   // node to its session here
 	others map[string]*shared // control node to its word on its sessions
-	known  map[string]string  // control node to its inner address
-	list   []member.Fellow    // the members as last worked out
-	hash   uint64
-	sure   time.Time // when a majority last confirmed what is held here
-	rules  *rules.Rules
+	shares int
+	rounds int
+	list   struct {
+		at   time.Time
+		core []string
+		name uint64
+	}
+	circle  uint64    // names the control nodes heard here
+	circled time.Time // when that changed last
+	owe     bool      // the other control nodes wait for word
+	packs   struct {
+		to   uint64
+		from map[uint64][]byte // differences to the list of now, packed
+	}
+	known   map[string]time.Time // control node, by its inner address, to when a fellow named it
+	roll    *member.Roll         // the members, by all sessions
+	mine    *member.Roll         // those of the sessions here
+	told    uint64               // the hash of mine that the other control nodes were told last
+	linked  uint64               // the hash of roll that the replica's links follow
+	linking bool                 // they are about to
+	sure    time.Time            // when a majority last confirmed what is held here
+	rules   *rules.Rules
+	held    *patch.Held // the document, with the steps to it
+	shrunk  struct {
+		version uint64
+		doc     []byte // the document of that version, compressed
+	}
+	whole  bool // the next document must come whole: the poll\'s own
 	trials []ledger.Trial
 	tries  uint64
 	looked time.Time                    // judge: the last look
 	seenOf map[reportKey]session.Report // judge: the newest report of each front's start
 	away   map[string]time.Time         // steward: since when a node has no session
 	filled time.Time
+	keptAs uint64 // the replica's digest when it was last kept on the disk
 }
 
 // New readies a registry.
 func New(p props.Props, e env.Env) *Registry {
 	g := task.New(context.Background()).Pace(e.Pause)
-	r := &Registry{P: p, e: e, g: g, own: map[string]*seat{}, others: map[string]*shared{}, known: map[string]string{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
+	r := &Registry{P: p, e: e, g: g, own: map[string]*seat{}, others: map[string]*shared{}, known: map[string]time.Time{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
 	var b [6]byte
 	_, _ = rand.Read(b[:])
 	r.self = member.Fellow{Node: p.Node, Start: hex.EncodeToString(b[:]), Role: "registry", Area: p.Area, Inner: p.Inner, Outer: p.Outer}
+	r.roll, r.mine = member.NewRoll(p.Node, changes), member.NewRoll(p.Node, changes)
+	r.roll.Set(p.Node, r.self)
 	r.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "registry"}, e, g, p.Frame, p.Jobs, p.Patience())
 	r.rep = replica.New(r.self, r.n, g, e.Log, hlc.New(e.Wall, 2*p.Return), p.Beat(), p.Repair(), p.Bury())
+	r.held = patch.NewHeld(changes / 16)
+	r.rep.Await(true)
 	r.stores = newStores(r.n, p.Stores, p.Patience(), p.Beat()/4)
+	r.pulse = pulse.New(p.Beat(), p.Doze(), nil)
 	r.life = state.New("starting", nil,
 		state.Move{From: "starting", By: "filled", To: "ready"},
 		state.Move{From: "ready", By: "lost", To: "lost"},
@@ -88,6 +120,7 @@
 func (r *Registry) Start() error {
 	wire.On(r.n, "session.beat", r.onBeat)
 	wire.On(r.n, "session.share", r.onShare)
+	wire.On(r.n, "session.members", r.onMembers)
 	wire.On(r.n, "outer.call", r.onOuter)
 	wire.On(r.n, "registry.status", r.onStatus)
 	wire.On(r.n, "registry.reports", r.onReports)
@@ -95,12 +128,14 @@
 	if err := r.n.Listen(r.P.Inner); err != nil {
 		return err
 	}
-	if err := outer.Serve(r.g, r.e, r.P.Outer, r.routes, r.P.Change); err != nil {
+	if err := outer.Serve(r.g, r.e, r.P.Outer, outer.Called(r.e.Say, r.routes), r.P.Change); err != nil {
 		return err
 	}
 	r.e.Log.Emit(event.Started, "program", "registry", "outer", r.P.Outer)
 	r.g.Go("poll", r.poll)
 	r.g.Every("share", r.P.Beat(), r.share)
+	r.g.Every("keep", r.P.Beat(), r.keep)
+	r.g.Go("pulse", func(ctx context.Context) { r.pulse.Run(ctx, r.e.Pause) })
 	for _, d := range r.duties {
 		r.g.Go("duty-"+d.name, d.run)
 	}
@@ -114,60 +149,6 @@
 	return !r.sure.IsZero() && time.Since(r.sure) <= r.P.Fresh()
 }
 
-// poll keeps the configuration here the newest: a confirmed read that waits a
-// little for a change, over and over.
-func (r *Registry) poll(ctx context.Context) {
-	for ctx.Err() == nil {
-		r.mu.Lock()
-		have := uint64(0)
-		if r.rules != nil {
-			have = r.rules.Version
-		}
-		r.mu.Unlock()
-		one, end := context.WithTimeout(ctx, r.P.Patience())
-		from := time.Now()
-		got, err := r.stores.read(one, store.Query{What: "config", From: have, Wait: r.P.Beat().Milliseconds()})
-		end()
-		if err == nil && r.takeConfig(got) {
-			r.mu.Lock()
-			r.sure = from
-			r.trials, r.tries = got.Trials, got.Number
-			r.mu.Unlock()
-			r.fill(ctx)
-			continue
-		}
-		if !r.inTouch() && r.life.Fire("lost") {
-			r.e.Log.Emit(event.OutOfTouch, "with", "stores")
-		}
-		r.e.Pause(ctx, r.P.Beat()/4)
-	}
-}
-
-// takeConfig puts a newer configuration in force here and pushes it at once.
-func (r *Registry) takeConfig(got ledger.Receipt) bool {
-	r.mu.Lock()
-	have := uint64(0)
-	if r.rules != nil {
-		have = r.rules.Version
-	}
-	r.mu.Unlock()
-	if got.Version <= have {
-		// A lower version than ours can't be confirmed by a majority.
-		return got.Version == have
-	}
-	c, bad, err := rules.Compile(got.Version, got.Doc)
-	if err != nil || len(bad) > 0 {
-		r.e.Log.Emit(event.ConfigBad, "version", got.Version, "faults", len(bad))
-		return false
-	}
-	r.mu.Lock()
-	r.rules = c
-	r.mu.Unlock()
-	r.e.Log.Emit(event.ConfigTaken, "version", c.Version)
-	r.push(c)
-	return true
-}
-
 // fill makes the node ready once its replica is filled from a fellow; when no
 // fellow answers it goes on with what the proxies' repairs bring.
 func (r *Registry) fill(ctx context.Context) {
@@ -180,12 +161,21 @@
 	if stale {
 		one, end := context.WithTimeout(ctx, r.P.Patience())
 		defer end()
-		for _, a := range r.core() {
-			if a != r.P.Inner && r.rep.Refill(one, a) == nil {
+		// In any order, or many that start would all ask the same.
+		all := r.core()
+		mrand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		for _, a := range all {
+			if a == r.P.Inner {
+				continue
+			}
+			if got, err := r.rep.Refill(one, a); err == nil && got.Done {
 				break
 			}
 		}
+		r.recall()
 	}
+	r.rep.Await(false)
+	r.rep.Sound(time.Now().Add(r.P.Session()))
 	if r.life.Fire("filled") {
 		r.e.Log.Emit(event.Ready, "program", "registry")
 	}
@@ -210,12 +200,14 @@
 	// Sessions are refused from now on, so within two beats all have moved.
 	// Outside callers learn from readiness, which the platform polls: they are
 	// served meanwhile, and calls under way get their answers.
-	task.Pause(r.g.Context(), r.P.Leave)
+	// Whatever the bounds are, it has gone by itself before its grace is over.
+	from := time.Now()
+	task.Pause(r.g.Context(), min(r.P.Leave, r.P.Grace/2))
 	r.life.Fire("shut")
-	for from := time.Now(); r.calls.Load() > 0 && time.Since(from) < r.P.Grace; {
+	for r.calls.Load() > 0 && time.Since(from) < r.P.Grace*17/20 {
 		task.Pause(r.g.Context(), r.P.Beat()/10)
 	}
-	r.n.Leave(r.P.Beat())
+	r.n.Leave(r.P.Parting())
 	r.Kill()
 	r.e.Log.Emit(event.Stopped, "program", "registry")
 }
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -48,6 +48,7 @@
 	m.Put("/puffin/keys/*", r.putKey)
 	m.Delete("/puffin/keys/*", r.deleteKey)
 	m.Get("/puffin/watch", r.watch)
+	r.appRoutes(m)
 	m.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		outer.JSON(w, http.StatusNotFound, outer.Wrong{Wrong: "no such call"})
 	})
@@ -94,6 +95,9 @@
 	if r.life.Is("leaving", "shut") {
 		return session.OuterBack{}, fault.New(fault.Refused, "leaving")
 	}
+	if end, ok := ctx.Deadline(); ok && in.Rest > 0 {
+		ctx = context.WithValue(ctx, byKey{}, end.Add(-time.Duration(in.Rest)*time.Millisecond))
+	}
 	req, err := http.NewRequestWithContext(ctx, in.Method, in.URI, bytes.NewReader(in.Body))
 	if err != nil {
 		return session.OuterBack{}, fault.Wrap(fault.Refused, err, "outside call")
@@ -133,6 +137,10 @@
 }
 
 func (r *Registry) getConfig(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Query().Get("as") == "sent" {
+		r.sentConfig(w, req)
+		return
+	}
 	ctx, end := r.timed(req)
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "config"})
@@ -149,19 +157,31 @@
 	outer.JSON(w, http.StatusOK, out)
 }
 
-// readDoc reads a document from a body and finds its faults. Paths that carry
-// a trial are the mesh's own to write.
+// readDoc reads a document from a body and finds its faults.
 func (r *Registry) readDoc(w http.ResponseWriter, req *http.Request) ([]byte, *rules.Rules) {
+	raw, ok := r.docBody(w, req)
+	if !ok {
+		return nil, nil
+	}
+	return raw, r.checkDoc(w, raw, nil)
+}
+
+func (r *Registry) docBody(w http.ResponseWriter, req *http.Request) ([]byte, bool) {
 	raw, code := outer.Body(w, req, rules.Most)
 	if code != 0 {
 		outer.JSON(w, code, outer.Wrong{Wrong: fmt.Sprintf("the document is over %d bytes or can't be read", rules.Most)})
-		return nil, nil
 	}
+	return raw, code == 0
+}
+
+// checkDoc finds a document's faults, besides those that are known already.
+// Paths that carry a trial are the mesh's own to write.
+func (r *Registry) checkDoc(w http.ResponseWriter, raw []byte, known []settings.Fault) *rules.Rules {
 	c, bad, err := rules.Compile(0, raw)
 	if err != nil {
 		r.e.Log.Emit(event.ConfigBad, "why", err.Error())
 		outer.JSON(w, http.StatusBadRequest, outer.Wrong{Wrong: "not a JSON document: " + err.Error()})
-		return nil, nil
+		return nil
 	}
 	if c != nil {
 		for i, p := range c.Paths {
@@ -170,12 +190,12 @@
 			}
 		}
 	}
-	if len(bad) > 0 {
+	if bad = append(known, bad...); len(bad) > 0 {
 		r.e.Log.Emit(event.ConfigBad, "faults", len(bad), "first", bad[0].Place)
 		outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: fmt.Sprintf("the document has %d faults", len(bad)), Faults: bad})
-		return nil, nil
+		return nil
 	}
-	return raw, c
+	return c
 }
 
 func (r *Registry) checkConfig(w http.ResponseWriter, req *http.Request) {
--- a/internal/registry/sessions.go
+++ b/internal/registry/sessions.go
@@ -7,11 +7,22 @@
 	"puffincrank/internal/event"
 	"puffincrank/internal/member"
 	"puffincrank/internal/ormap"
-	"puffincrank/internal/rules"
 	"puffincrank/internal/session"
+	"puffincrank/internal/squeeze"
+	"puffincrank/internal/touch"
 	"puffincrank/internal/wire"
 )
 
+// changes is how many changes of the list of members are kept, for those who
+// hold an older one.
+const changes = 4096
+
+// page is how many members one message brings at the most.
+const page = 512
+
+// few members are not worth the short form's own frame.
+const few = 2
+
 // seat is one proxy's session here.
 type seat struct {
 	f       member.Fellow
@@ -21,26 +32,27 @@
 	live    []string
 }
 
-// shared is another control node's word on its sessions.
-type shared struct {
-	f     member.Fellow
-	list  []member.Fellow
-	hash  uint64
-	heard time.Time
-}
-
 // onBeat renews a session. A control node that is out of touch with the
 // stores, or leaving, says so, and the proxy tries another.
 func (r *Registry) onBeat(_ context.Context, _ wire.Hello, in session.Beat) (session.Receipt, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.relink()
 	if in.Bye {
-		delete(r.own, in.Fellow.Node)
+		r.unseat(in.Fellow.Node)
 		return session.Receipt{}, nil
 	}
 	if r.rules == nil && r.sure.IsZero() || time.Since(r.sure) > r.P.Fresh() || r.life.Is("starting", "leaving", "shut", "lost") {
 		return session.Receipt{}, nil
 	}
+	out := session.Receipt{In: true, Age: time.Since(r.sure).Milliseconds() + 1}
+	// Who only looks for a control node in touch takes no seat.
+	if in.Look {
+		if r.rules != nil {
+			out.Version = r.rules.Version
+		}
+		return out, nil
+	}
 	s := r.own[in.Fellow.Node]
 	if s == nil || s.f != in.Fellow {
 		if s == nil || s.f.Start != in.Fellow.Start {
@@ -49,156 +61,182 @@
 		}
 		s = &seat{f: in.Fellow}
 		r.own[in.Fellow.Node] = s
+		r.mine.Set(r.P.Node, s.f)
+		r.roll.Set(r.P.Node, s.f)
 	}
 	s.heard, s.version, s.tallies, s.live = time.Now(), in.Version, in.Tallies, in.Live
-	r.workOut()
-	out := session.Receipt{In: true, Age: time.Since(r.sure).Milliseconds() + 1, Hash: r.hash, Core: r.coreLocked()}
+	out.Hash, out.Count = r.roll.Hash(), r.roll.Fronts()
+	if core, name := r.tell(); in.Core != name {
+		out.Core = core
+	}
 	if r.rules != nil {
 		out.Version = r.rules.Version
 		if in.Version < out.Version {
-			out.Doc = r.rules.Doc
+			r.lack(&out, in)
 		}
 	}
-	if in.Hash != r.hash {
-		out.Members = r.list
-	}
-	for _, f := range r.list {
-		if f.Role == "proxy" {
-			out.Count++
-		}
+	if in.Hash != out.Hash {
+		r.differ(&out, in)
 	}
 	return out, nil
 }
 
-// buryOld removes what earlier starts of a node left: one name, one process.
-func (r *Registry) buryOld(f member.Fellow) {
-	r.g.Go("bury-old", func(context.Context) {
-		r.rep.Retire(f.Node, func(e ormap.Entry) bool { return e.Dot.Node != f.Node+"#"+f.Start })
-	})
-}
-
-// workOut makes the list of members from all sessions; mu is held.
-func (r *Registry) workOut() {
-	all := map[string]member.Fellow{r.self.Node: r.self}
-	for _, o := range r.others {
-		if time.Since(o.heard) > r.P.Session() {
-			continue
-		}
-		all[o.f.Node] = o.f
-		for _, f := range o.list {
-			all[f.Node] = f
+// lack gives a beat the steps to the newest configuration from the one that its
+// node holds, or else the whole.
+func (r *Registry) lack(out *session.Receipt, in session.Beat) {
+	version, doc := r.held.Now()
+	out.Version = version
+	if steps, ok := r.held.Since(in.Version); ok && in.Patch {
+		out.Steps = steps
+	} else if in.Short {
+		// Shrunk once for all that ask for it.
+		if r.shrunk.version != version {
+			r.shrunk.version, r.shrunk.doc = version, squeeze.Shrink(doc)
 		}
+		out.Shrunk = r.shrunk.doc
+	} else {
+		out.Doc = doc
 	}
-	for n, s := range r.own {
-		if time.Since(s.heard) > r.P.Session() {
-			delete(r.own, n)
-			r.e.Log.Emit(event.SessionDown, "node", n)
-			continue
+}
+
+// differ tells a beat what differs from the list that its node holds. Nothing
+// at all means that this hash isn't known here: the node then asks by parts.
+func (r *Registry) differ(out *session.Receipt, in session.Beat) {
+	if !in.Diff {
+		out.Members = r.roll.Book().List()
+		return
+	}
+	if d, ok := r.roll.Since(in.Hash); ok && len(d.Come)+len(d.Gone) <= page {
+		out.Diff = true
+		if in.Short && len(d.Come)+len(d.Gone) > few {
+			// With nothing said it asks by parts, and is told whom to ask.
+			if out.Diff = r.rep.Room(); out.Diff {
+				out.Short = r.packed(in.Hash, d)
+				r.rep.Spend(len(out.Short))
+			}
+		} else {
+			out.Come, out.Gone = d.Come, d.Gone
 		}
-		all[n] = s.f
 	}
-	var list []member.Fellow
-	for _, f := range all {
-		list = append(list, f)
+}
+
+// packed is what differs since a hash, packed once for all that hold it: a whole
+// region that comes back is news to every session at the same time. mu is held.
+func (r *Registry) packed(from uint64, d member.Diff) []byte {
+	if r.packs.to != r.roll.Hash() {
+		r.packs.to, r.packs.from = r.roll.Hash(), map[uint64][]byte{}
 	}
-	member.Sort(list)
-	if h := member.Hash(list); h != r.hash {
-		r.list, r.hash = list, h
-		r.g.Go("peers", func(context.Context) { r.rep.Peers(list) })
+	if r.packs.from[from] == nil {
+		r.packs.from[from] = d.Pack()
 	}
+	return r.packs.from[from]
 }
 
-// ownList is this node's own sessions; mu is held.
-func (r *Registry) ownList() []member.Fellow {
-	var out []member.Fellow
-	for _, s := range r.own {
-		out = append(out, s.f)
+// onMembers gives the parts of the list that differ, some at a time. Beyond what
+// it hands out in a beat it names those who have them.
+func (r *Registry) onMembers(_ context.Context, from wire.Hello, in session.ListAsk) (session.ListBack, error) {
+	r.mu.Lock()
+	b, at := r.roll.Book(), ""
+	if s := r.own[from.Node]; s != nil {
+		at = s.f.Inner
 	}
-	return member.Sort(out)
+	r.mu.Unlock()
+	if !r.rep.Room() {
+		return session.ListBack{Hash: b.Hash(), Busy: true, Try: r.rep.Given(from.Area, at)}, nil
+	}
+	out, err := touch.Differ(b, in)
+	r.rep.Spend(touch.Cost(out))
+	if err == nil && !out.More {
+		r.rep.Gave(at, from.Area)
+	}
+	return out, err
 }
 
-// coreLocked gives the control nodes' addresses; mu is held.
-func (r *Registry) coreLocked() []string {
-	out := []string{r.P.Inner}
-	seen := map[string]bool{r.P.Inner: true}
-	for _, o := range r.others {
-		if time.Since(o.heard) <= r.P.Session() && !seen[o.f.Inner] {
-			seen[o.f.Inner] = true
-			out = append(out, o.f.Inner)
+// unseat ends a session; mu is held.
+func (r *Registry) unseat(node string) {
+	delete(r.own, node)
+	r.mine.Drop(r.P.Node, node)
+	r.roll.Drop(r.P.Node, node)
+}
+
+// expire ends the sessions that were not renewed, and what other control nodes
+// said that were not heard since; mu is held.
+func (r *Registry) expire() {
+	for n, o := range r.others {
+		if o.stands && time.Since(o.heard) > r.P.Session() {
+			o.stands, o.hash = false, 0
+			r.roll.DropAll(n)
 		}
 	}
-	for _, a := range r.P.Seeds {
-		if !seen[a] {
-			seen[a] = true
-			out = append(out, a)
+	for n, s := range r.own {
+		if time.Since(s.heard) > r.P.Session() {
+			r.unseat(n)
+			r.e.Log.Emit(event.SessionDown, "node", n)
 		}
 	}
-	return out
-}
-
-func (r *Registry) core() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.coreLocked()
 }
 
-// share tells the other control nodes of the sessions here: by hash, and
-// whole only when they don't have it.
-func (r *Registry) share(ctx context.Context) {
-	r.mu.Lock()
-	r.workOut()
-	list := r.ownList()
-	in := session.Share{From: r.self, Hash: member.Hash(list)}
-	to := r.coreLocked()
-	r.mu.Unlock()
-	for _, a := range to {
-		if a == r.P.Inner {
-			continue
-		}
-		r.g.Go("share-one", func(ctx context.Context) {
-			ctx, end := context.WithTimeout(ctx, r.P.Patience())
-			defer end()
-			got, err := wire.Ask[session.ShareBack](ctx, r.n, a, "session.share", in)
-			if err != nil || !got.Need {
+// relink lets the replica's links follow the list, once for many changes; mu
+// is held.
+func (r *Registry) relink() {
+	if r.linking || r.roll.Hash() == r.linked {
+		return
+	}
+	// One after the other: of two lists in a row, the older must never be the
+	// last word.
+	r.linking = r.g.Go("peers", func(context.Context) {
+		for {
+			r.mu.Lock()
+			b := r.roll.Book()
+			if b.Hash() == r.linked {
+				r.linking = false
+				r.mu.Unlock()
 				return
 			}
-			full := in
-			full.Full, full.List = true, list
-			_, _ = wire.Ask[session.ShareBack](ctx, r.n, a, "session.share", full)
-		})
-	}
+			r.linked = b.Hash()
+			r.mu.Unlock()
+			r.rep.Peers(b)
+		}
+	})
 }
 
-func (r *Registry) onShare(_ context.Context, _ wire.Hello, in session.Share) (session.ShareBack, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	o := r.others[in.From.Node]
-	if o == nil {
-		o = &shared{}
-		r.others[in.From.Node] = o
-	}
-	o.f, o.heard = in.From, time.Now()
-	if in.Full {
-		o.list, o.hash = in.List, in.Hash
-	}
-	if in.Hash != o.hash {
-		// What is known is kept until the whole list comes.
-		return session.ShareBack{Need: true, Me: r.self}, nil
-	}
-	return session.ShareBack{Me: r.self}, nil
+// buryOld removes what earlier starts of a node left: one name, one process.
+func (r *Registry) buryOld(f member.Fellow) {
+	r.g.Go("bury-old", func(ctx context.Context) {
+		// The new start buries them itself, after it has looked at what its
+		// worker was; this is for one that does not get so far.
+		r.e.Pause(ctx, 2*r.P.Beat())
+		r.rep.Retire(f.Node, func(e ormap.Entry) bool { return e.Dot.Node != f.Node+"#"+f.Start })
+	})
 }
 
-// push sends a new configuration to every session here at once.
-func (r *Registry) push(c *rules.Rules) {
+// push sends a new configuration to every session here at once: to those that
+// hold an earlier one the steps from there.
+func (r *Registry) push() {
+	type one struct {
+		s    *seat
+		at   string
+		have uint64
+	}
 	r.mu.Lock()
-	list := r.ownList()
+	var list []one
+	for _, s := range r.own {
+		list = append(list, one{s, s.f.Inner, s.version})
+	}
 	r.mu.Unlock()
-	for _, f := range list {
+	for _, o := range list {
 		r.g.Go("push", func(ctx context.Context) {
-			ctx, end := context.WithTimeout(ctx, r.P.Patience())
+			// Of use for as long as the session stands, however late it comes.
+			ctx, end := context.WithTimeout(ctx, r.P.Session())
 			defer end()
 			// One that misses this gets it with its next beat.
-			_, _ = wire.Ask[struct{}](ctx, r.n, f.Inner, "config.push", session.Push{Version: c.Version, Doc: c.Doc})
+			have, err := touch.Push(ctx, r.n, o.at, r.held, o.have)
+			if err != nil {
+				return
+			}
+			r.mu.Lock()
+			o.s.version = max(o.s.version, have)
+			r.mu.Unlock()
 		})
 	}
 }
--- /dev/null
+++ b/internal/registry/shares.go
@@ -0,0 +1,149 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"puffincrank/internal/member"
+	"puffincrank/internal/session"
+	"puffincrank/internal/wire"
+)
+
+// seldom is how many beats pass between two words without news; two in a row
+// may be lost.
+const seldom = 3
+
+// shared is another control node's word on its sessions.
+type shared struct {
+	f     member.Fellow
+	hash  uint64 // of the list as last heard, 0 for none
+	heard time.Time
+	// What it said counts; it does not after a session's time without a word.
+	stands bool
+	// Since when words to it were not answered, zero for not at all.
+	mute time.Time
+	well time.Time // when the newest word began that was
+	out  bool      // it is left out of the list for that
+}
+
+// share tells the other control nodes of the sessions here: what changed since
+// the last round, and to those who lack more what they lack.
+func (r *Registry) share(context.Context) {
+	r.e.Looks()
+	r.mu.Lock()
+	r.expire()
+	r.leaveOut()
+	if !r.sure.IsZero() && time.Since(r.sure) <= r.P.Fresh() {
+		r.rep.Sound(time.Now().Add(r.P.Session()))
+	}
+	r.relink()
+	// Unless something changed or somebody came or went lately, a word now and
+	// then is enough: what was said counts for ten beats.
+	_, met := r.near()
+	if met != r.circle {
+		r.circle, r.circled = met, time.Now()
+	}
+	calm := r.mine.Hash() == r.told && !r.owe && time.Since(r.circled) > r.P.Session()
+	r.rounds++
+	rest := calm && r.rounds%seldom != 0
+	var to []string
+	if rest {
+		if to = r.doubted(); len(to) == 0 {
+			r.mu.Unlock()
+			return
+		}
+	}
+	r.owe = false
+	in := session.Share{From: r.self, Hash: r.mine.Hash()}
+	if d, ok := r.mine.Since(r.told); ok && r.told != in.Hash && len(d.Come)+len(d.Gone) <= page {
+		in.Diff, in.Base, in.Come, in.Gone = true, r.told, d.Come, d.Gone
+	}
+	r.told = in.Hash
+	in.Met = met
+	if !rest {
+		to = r.fellows()
+	}
+	r.mu.Unlock()
+	for _, a := range to {
+		if a == r.P.Inner {
+			continue
+		}
+		r.g.Go("share-one", func(ctx context.Context) {
+			ctx, end := context.WithTimeout(ctx, r.P.Patience())
+			defer end()
+			began := time.Now()
+			got, err := wire.Ask[session.ShareBack](ctx, r.n, a, "session.share", in)
+			r.answered(a, began, err == nil)
+			if err == nil {
+				r.meet(got.Near)
+			}
+			if err == nil && got.Need {
+				_, _ = wire.Ask[session.ShareBack](ctx, r.n, a, "session.share", r.more(got))
+			}
+		})
+	}
+}
+
+// more gives a control node what it lacks: what differs from the list that it
+// holds, if that is known here, or else the whole.
+func (r *Registry) more(got session.ShareBack) session.Share {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := session.Share{From: r.self, Hash: r.mine.Hash()}
+	if d, ok := r.mine.Since(got.Have); ok && got.Diff && got.Have != 0 {
+		out.Diff, out.Base, out.Come, out.Gone = true, got.Have, d.Come, d.Gone
+	} else {
+		out.Full, out.List = true, r.mine.Book().List()
+	}
+	if got.Pack && len(out.List)+len(out.Come)+len(out.Gone) > few {
+		out.Pack = member.Diff{Come: append(out.Come, out.List...), Gone: out.Gone}.Pack()
+		out.List, out.Come, out.Gone = nil, nil, nil
+	}
+	return out
+}
+
+func (r *Registry) onShare(_ context.Context, _ wire.Hello, in session.Share) (session.ShareBack, error) {
+	if len(in.Pack) > 0 {
+		d, err := member.OpenDiff(in.Pack)
+		if err != nil {
+			return session.ShareBack{}, err
+		}
+		if in.Full {
+			in.List = d.Come
+		} else {
+			in.Come, in.Gone = d.Come, d.Gone
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	who := in.From.Node
+	o := r.others[who]
+	if o == nil {
+		o = &shared{}
+		r.others[who] = o
+	}
+	// Who begins anew or was away lacks what is said here.
+	r.owe = r.owe || !o.stands || o.f.Start != in.From.Start
+	o.hears(in.From)
+	r.roll.Set(who, in.From)
+	switch {
+	case in.Full:
+		r.roll.Replace(who, append(in.List, in.From))
+		o.hash = in.Hash
+	case in.Diff && in.Base == o.hash && o.hash != in.Hash:
+		for _, f := range in.Come {
+			r.roll.Set(who, f)
+		}
+		for _, n := range in.Gone {
+			r.roll.Drop(who, n)
+		}
+		o.hash = in.Hash
+	}
+	r.relink()
+	// What is known is kept until more comes.
+	back := session.ShareBack{Need: in.Hash != o.hash, Me: r.self, Diff: true, Have: o.hash, Pack: true}
+	if near, met := r.near(); met != in.Met {
+		back.Near = near
+	}
+	return back, nil
+}
--- a/internal/registry/status.go
+++ b/internal/registry/status.go
@@ -83,7 +83,7 @@
 // gather asks every member for its status at once.
 func (r *Registry) gather(ctx context.Context, events bool, since uint64) Fleet {
 	r.mu.Lock()
-	out := Fleet{Members: r.list, Duties: map[string]string{}, Mute: []string{}}
+	out := Fleet{Members: r.roll.Book().List(), Duties: map[string]string{}, Mute: []string{}}
 	r.mu.Unlock()
 	r.stores.mu.Lock()
 	stores := append([]string(nil), r.stores.all...)
--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -24,36 +24,47 @@
 	mu   sync.Mutex
 	head string
 	all  []string
+	mute map[string]time.Time // store to when it last did not answer
 }
 
 func newStores(n *wire.Node, seed []string, wait, rest time.Duration) *stores {
-	return &stores{n: n, seed: seed, wait: wait, rest: rest}
+	return &stores{n: n, seed: seed, wait: wait, rest: rest, mute: map[string]time.Time{}}
 }
 
-// list gives the addresses to try, the last known writer first.
+// list gives the addresses to try, the last known writer first, and last those
+// that were mute just now: a dead writer is named by others until they miss it.
 func (c *stores) list() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	seen := map[string]bool{"": true}
-	var out []string
+	var out, late []string
 	for _, l := range [][]string{{c.head}, c.all, c.seed} {
 		for _, a := range l {
-			if !seen[a] {
-				seen[a] = true
+			if seen[a] {
+				continue
+			}
+			seen[a] = true
+			if c.silent(a) {
+				late = append(late, a)
+			} else {
 				out = append(out, a)
 			}
 		}
 	}
-	return out
+	return append(out, late...)
 }
 
+// silent tells that a store did not answer lately; mu is held.
+func (c *stores) silent(a string) bool { return time.Since(c.mute[a]) < 2*c.wait }
+
 // heed takes in what a store says of the writer and the members.
 func (c *stores) heed(from string, g store.Given) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.mute, from)
 	if g.Done {
 		c.head = from
-	} else if g.Head != "" && g.Head != from {
+	} else if g.Head != "" && g.Head != from && !c.silent(g.Head) {
 		c.head = g.Head
 	} else if c.head == from {
 		c.head = ""
@@ -66,8 +77,13 @@
 	}
 }
 
-func (c *stores) lose(addr string) {
+// lose notes a store that did not answer. One that had too little time to is
+// not mute for that.
+func (c *stores) lose(ctx context.Context, addr string) {
 	c.mu.Lock()
+	if ctx.Err() == nil {
+		c.mute[addr] = time.Now()
+	}
 	if c.head == addr {
 		c.head = ""
 	}
@@ -77,17 +93,25 @@
 // ask goes round the stores until the writer answers. Once a store may have
 // acted on a change, no other is asked: the outcome is unknown.
 func (c *stores) ask(ctx context.Context, kind string, in any, again bool) (ledger.Receipt, error) {
+	return c.askFor(ctx, kind, in, again, c.wait, time.Time{})
+}
+
+// askFor is ask with the time that one store may take to answer a read, and
+// the moment after which a change is no longer sent anywhere.
+func (c *stores) askFor(ctx context.Context, kind string, in any, again bool, long time.Duration, by time.Time) (ledger.Receipt, error) {
 	var last error = fault.New(fault.Refused, "no store writes")
 	for {
-		for _, at := range c.list() {
-			if ctx.Err() != nil {
+		tried := map[string]bool{}
+		for at := c.next(tried); at != ""; at = c.next(tried) {
+			if ctx.Err() != nil || !by.IsZero() && !time.Now().Before(by) {
 				return ledger.Receipt{}, fault.New(fault.Refused, "no time left: %v", last)
 			}
+			tried[at] = true
 			// A change has the whole time left, since a cut-off wait would
 			// leave it unknown; a read is tried elsewhere soon.
 			one, end := ctx, context.CancelFunc(func() {})
 			if again {
-				one, end = context.WithTimeout(ctx, c.wait)
+				one, end = context.WithTimeout(ctx, long)
 			}
 			g, err := wire.Ask[store.Given](one, c.n, at, kind, in)
 			end()
@@ -96,12 +120,9 @@
 				if g.Done {
 					return g.Receipt, nil
 				}
-				if g.Head != "" && g.Head != at {
-					break
-				}
 				continue
 			}
-			c.lose(at)
+			c.lose(ctx, at)
 			last = err
 			if !again && !fault.Is(err, fault.Unsent) && !fault.Is(err, fault.Refused) {
 				return ledger.Receipt{}, fault.Wrap(fault.Unknown, err, "change handed to the store")
@@ -117,13 +138,33 @@
 	}
 }
 
+// next gives the address to try now: the writer as last heard of, then all
+// others, each once in a round; "" at its end.
+func (c *stores) next(tried map[string]bool) string {
+	for _, a := range c.list() {
+		if !tried[a] {
+			return a
+		}
+	}
+	return ""
+}
+
 // offer proposes a command.
 func (c *stores) offer(ctx context.Context, kind string, cmd ledger.Command) (ledger.Receipt, error) {
+	return c.offerBy(ctx, kind, cmd, time.Time{})
+}
+
+// offerBy proposes a command that must not be done when it comes later than by.
+func (c *stores) offerBy(ctx context.Context, kind string, cmd ledger.Command, by time.Time) (ledger.Receipt, error) {
 	p, err := ledger.Pack(kind, cmd)
 	if err != nil {
 		return ledger.Receipt{}, err
 	}
-	return c.ask(ctx, "store.offer", store.Offer{Cmd: p}, false)
+	in := store.Offer{Cmd: p}
+	if end, ok := ctx.Deadline(); ok && by.Before(end) && !by.IsZero() {
+		in.Rest = (end.Sub(by) + time.Millisecond - 1).Milliseconds()
+	}
+	return c.askFor(ctx, "store.offer", in, false, c.wait, by)
 }
 
 // read asks for a confirmed read.
@@ -147,6 +188,20 @@
 	return ledger.Receipt{}, fault.Wrap(fault.Refused, last, "watch")
 }
 
+// puts asks the writer for the puts of a group. A long wait is made of parts,
+// so that a store that went dark in the middle of it is left soon.
+func (c *stores) puts(ctx context.Context, q store.Query, wait, part time.Duration) (ledger.Receipt, error) {
+	end := time.Now().Add(wait)
+	for {
+		one := max(min(time.Until(end), part), 0)
+		q.Wait = one.Milliseconds()
+		got, err := c.askFor(ctx, "store.puts", q, true, one+c.wait, time.Time{})
+		if err != nil || got.Code != ledger.OK || len(got.Changes) > 0 || q.From == 0 || time.Until(end) < time.Millisecond {
+			return got, err
+		}
+	}
+}
+
 // removeStore takes a store out of the core, if those who stay can decide.
 func (r *Registry) removeStore(w http.ResponseWriter, req *http.Request) {
 	ctx, end := r.timed(req)
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -1,17 +1,21 @@
 // Package repeats keeps the bound on second sends: over any window a front's
 // repeats to a service stay within a ratio to its own first sends plus its
 // part of the mesh-wide allowance. The sum over the fronts then holds for the
-// whole mesh at every moment, without a word between them.
+// whole mesh at every moment, without a word between them. The calls that a
+// repeated run makes count too: their room is held while it runs, at the front
+// beside its worker, through which they come.
 package repeats
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 type row struct {
-	first  []time.Time
-	second []time.Time
+	first, second tape
+	lent          tape    // the part of second that calls of repeated runs are
+	held          float64 // calls to come of repeated runs under way
 }
 
 // Budget is one front's count for each service.
@@ -48,14 +52,6 @@
 	b.mu.Unlock()
 }
 
-func cut(l []time.Time, from time.Time) []time.Time {
-	i := 0
-	for i < len(l) && !l[i].After(from) {
-		i++
-	}
-	return l[i:]
-}
-
 func (b *Budget) at(service string, now time.Time) *row {
 	r := b.rows[service]
 	if r == nil {
@@ -63,17 +59,58 @@
 		b.rows[service] = r
 	}
 	from := now.Add(-b.window)
-	r.first, r.second = cut(r.first, from), cut(r.second, from)
+	r.first.cut(from)
+	r.second.cut(from)
+	r.lent.cut(from)
 	return r
 }
 
 // First counts a first send.
-func (b *Budget) First(service string) {
+func (b *Budget) First(service string) { b.Call(service, 0) }
+
+// Call counts a first send that is, for a part between 0 and 1, the call of a
+// repeated run: that part counts as a repeat. It is not refused here, since the
+// run that needs it is under way; its room was held.
+func (b *Budget) Call(service string, part float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	r := b.at(service, now)
-	r.first = append(r.first, now)
+	r.first.add(now, 1-part)
+	if part > 0 {
+		r.second.add(now, part)
+		r.lent.add(now, part)
+	}
+}
+
+// Hold asks for room for the calls that a repeated run is expected to make, by
+// service, and keeps it until Free. Without room for all it keeps none, and
+// names the service that has none, unless the run must be.
+func (b *Budget) Hold(calls map[string]float64, must bool) (lacks string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for s, n := range calls {
+		if r := b.at(s, now); !must && !b.may(r, now, n) {
+			b.No++
+			return s, false
+		}
+	}
+	for s, n := range calls {
+		b.rows[s].held += n
+	}
+	return "", true
+}
+
+// Free gives back what a run held that has ended; what it called was counted.
+func (b *Budget) Free(calls map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for s, n := range calls {
+		if r := b.rows[s]; r != nil {
+			r.held = max(r.held-n, 0)
+		}
+	}
 }
 
 // Again asks for a repeat and counts it if it is allowed.
@@ -82,37 +119,52 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	r := b.at(service, now)
-	if !b.may(r, now) {
+	if !b.may(r, now, 1) {
 		b.No++
 		return false
 	}
-	r.second = append(r.second, now)
+	r.second.add(now, 1)
 	b.Yes++
 	return true
 }
 
+// Ample tells whether no more than a quarter of what is allowed was taken: for
+// repeats that would be good to have, but not at the cost of those that must be.
+func (b *Budget) Ample(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.at(service, time.Now())
+	return 4*(r.second.all()+r.held+1) <= b.share*r.first.all()
+}
+
 // Could tells whether a repeat would be allowed just now.
 func (b *Budget) Could(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	return b.may(b.at(service, now), now)
+	return b.may(b.at(service, now), now, 1)
 }
 
-func (b *Budget) may(r *row, now time.Time) bool {
+// may tells whether more repeats have room now.
+func (b *Budget) may(r *row, now time.Time, more float64) bool {
 	part := 0.0
 	// Nor for the first window: what an earlier start of this front used of
 	// its part may still count.
 	if b.nodes > 0 && now.Sub(b.born) >= b.window {
 		part = b.allow / float64(b.nodes)
 	}
+	// Calls of repeated runs are counted by what runs make on the mean: two
+	// deviations of such a count are kept back besides.
+	if lent := r.lent.all() + r.held; lent > 0 {
+		more += 2 * math.Sqrt(lent)
+	}
+	more += r.held
 	// A tenth is kept back: between two repeats of one front the first sends
 	// of the others pass out of the window. The short window keeps a burst of
 	// repeats from standing alone when traffic falls off right after it.
 	short := now.Add(-b.window / 5)
-	one, two := len(cut(r.first, short)), len(cut(r.second, short))
-	return float64(len(r.second)+1) <= 0.9*b.share*float64(len(r.first))+part &&
-		float64(two+1) <= 1.5*b.share*float64(one)+max(part, 1)
+	return r.second.all()+more <= 0.9*b.share*r.first.all()+part &&
+		r.second.since(short)+more <= 1.5*b.share*r.first.since(short)+max(part, 1)
 }
 
 // When guesses how long until a repeat may be allowed: until the oldest one
@@ -122,15 +174,16 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	r := b.at(service, now)
-	if b.may(r, now) {
+	if b.may(r, now, 1) {
 		return 0
 	}
 	// Without repeats in the window it is first sends that lack.
 	wait := b.window / 5
-	if short := cut(r.second, now.Add(-b.window/5)); len(short) > 0 {
-		wait = short[0].Add(b.window / 5).Sub(now)
-	} else if len(r.second) > 0 {
-		wait = r.second[0].Add(b.window).Sub(now)
+	if l := r.second.marks; len(l) > 0 {
+		wait = l[0].at.Add(b.window).Sub(now)
+		if i := r.second.past(now.Add(-b.window / 5)); i < len(l) {
+			wait = l[i].at.Add(b.window / 5).Sub(now)
+		}
 	}
 	return wait
 }
@@ -140,7 +193,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.at(service, time.Now())
-	return len(r.first), len(r.second)
+	return int(r.first.all() + 0.5), int(r.second.all() + 0.5)
 }
 
 // Asked counts the repeats that were asked for, allowed or not.
--- /dev/null
+++ b/internal/replica/full_test.go
@@ -0,0 +1,49 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/env"
+	"puffincrank/internal/event"
+	"puffincrank/internal/hlc"
+	"puffincrank/internal/member"
+	"puffincrank/internal/ormap"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+// TestRefillPackedOnce: refills that are asked for at the same time are packed
+// once, and one that is asked for later holds what is new.
+func TestRefillPackedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const beat = 200 * time.Millisecond
+		g := task.New(context.Background())
+		defer g.Stop()
+		e := env.Env{Log: event.New("a", nil), Wall: time.Now}
+		w := wire.NewNode(wire.Hello{Mesh: "m", Node: "a", Area: "x"}, e, g, 1<<20, 4, beat)
+		r := New(member.Fellow{Node: "a", Inner: "h:1"}, w, g, e.Log, hlc.New(time.Now, time.Minute), beat, 3*time.Second, time.Minute)
+		ask := func() ormap.Delta {
+			d, err := r.onAll(t.Context(), wire.Hello{}, allAsk{Short: true})
+			if err != nil || len(d.Short) == 0 {
+				t.Fatal(d, err)
+			}
+			return d
+		}
+		r.Register("s", "w", nil)
+		one := ask()
+		r.Register("s", "v", nil)
+		if two := ask(); &one.Short[0] != &two.Short[0] {
+			t.Error("packed again at the same time")
+		}
+		task.Pause(t.Context(), beat/2)
+		if d, err := ask().Open(); err != nil || len(d.Adds) != 2 {
+			t.Error(d, err)
+		}
+		if d, _ := r.onAll(t.Context(), wire.Hello{}, allAsk{}); len(d.Adds) != 2 {
+			t.Error("an earlier version gets", d)
+		}
+	})
+}
--- a/internal/replica/lookup.go
+++ b/internal/replica/lookup.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"puffincrank/internal/event"
-	"puffincrank/internal/fault"
-	"puffincrank/internal/member"
 	"puffincrank/internal/ormap"
-	"puffincrank/internal/wire"
 )
 
 // Retries is how often a lookup that found nothing is tried again at first.
@@ -66,93 +61,24 @@
 	}
 }
 
-type digestAsk struct {
-	Total uint64   `msgpack:"t"`
-	All   []uint64 `msgpack:"a,omitempty"`
-}
-
-type digestGot struct {
-	Same   bool        `msgpack:"s"`
-	Differ []int       `msgpack:"d"`
-	Part   ormap.Delta `msgpack:"p"`
-}
-
-func (r *Replica) onDigest(_ context.Context, _ wire.Hello, in digestAsk) (digestGot, error) {
-	own := r.m.Digests()
-	if ormap.Total(own) == in.Total {
-		return digestGot{Same: true}, nil
-	}
-	// Without the ranges the asker only wanted to know whether all is equal.
-	if len(in.All) != ormap.Ranges {
-		return digestGot{}, nil
-	}
-	var got digestGot
-	for i := range own {
-		if own[i] != in.All[i] {
-			got.Differ = append(got.Differ, i)
-		}
-	}
-	got.Part = r.m.Part(got.Differ)
-	return got, nil
-}
-
-// repair compares digests with one fellow at a time: mostly one of the own
-// area, now and then any, since bytes between areas are dear.
-func (r *Replica) repair(ctx context.Context) {
-	r.Collect()
-	r.mu.Lock()
-	r.turn++
-	any := r.turn%3 == 0
-	var pick []member.Fellow
-	for _, f := range r.peers {
-		if f.Node != r.self.Node && (any || f.Area == r.self.Area) {
-			pick = append(pick, f)
-		}
-	}
-	r.mu.Unlock()
-	if len(pick) == 0 {
-		return
-	}
-	ctx, end := context.WithTimeout(ctx, 5*r.beat)
-	defer end()
-	_ = r.Mend(ctx, pick[rand.IntN(len(pick))].Inner)
-}
-
-// Mend compares with one fellow and merges the ranges that differ, both ways.
-func (r *Replica) Mend(ctx context.Context, addr string) error {
-	own := r.m.Digests()
-	total := ormap.Total(own)
-	got, err := wire.Ask[digestGot](ctx, r.n, addr, "replica.digest", digestAsk{Total: total})
-	if err != nil || got.Same {
-		return err
-	}
-	got, err = wire.Ask[digestGot](ctx, r.n, addr, "replica.digest", digestAsk{Total: total, All: own})
-	if err != nil || got.Same {
-		return err
-	}
+// Fill puts what a refill brought in the place of all that others said.
+func (r *Replica) Fill(all ormap.Delta) {
 	r.mu.Lock()
-	r.Mends++
+	r.m.Clear(func(e ormap.Entry) bool { return e.Dot.Node == r.dot })
+	clear(r.index)
+	r.indexed(r.m.Live(nil), nil)
 	r.mu.Unlock()
-	back := r.m.Part(got.Differ)
-	r.take(got.Part, true)
-	_, err = wire.Ask[struct{}](ctx, r.n, addr, "replica.mend", back)
-	return err
+	r.take(all, false)
 }
 
-// Refill drops what others said long ago and pulls all from a control node.
-// Own entries stay.
-func (r *Replica) Refill(ctx context.Context, addr string) error {
-	all, err := wire.Ask[ormap.Delta](ctx, r.n, addr, "replica.all", struct{}{})
-	if err != nil {
-		return fault.Wrap(fault.Refused, err, "refill")
-	}
-	r.m.Clear(func(e ormap.Entry) bool { return e.Dot.Node == r.dot })
-	r.mu.Lock()
-	r.old = true
-	r.mu.Unlock()
+// Recall adds what was known in an earlier life, and tells nobody: all whose
+// replicas are empty are refilled from here.
+func (r *Replica) Recall(all ormap.Delta) {
 	r.take(all, false)
-	r.log.Emit(event.Refilled, "from", addr, "entries", len(all.Adds))
-	return nil
+	// Whoever asks from now on is given it, not what was packed just before.
+	r.full.Lock()
+	r.full.at = time.Time{}
+	r.full.Unlock()
 }
 
 // OwnDead tells whether an own entry was found removed by somebody else.
@@ -160,3 +86,17 @@
 
 // Dot is the node part of this node's dots.
 func (r *Replica) Dot() string { return r.dot }
+
+// Await tells whether a refill is to come: until then the replica is not
+// compared with any.
+func (r *Replica) Await(on bool) {
+	r.mu.Lock()
+	r.await = on
+	r.mu.Unlock()
+}
+
+func (r *Replica) awaits() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.await
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"puffincrank/internal/event"
 	"puffincrank/internal/hlc"
 	"puffincrank/internal/member"
@@ -41,23 +39,35 @@
 	reg   sync.Mutex // one registration at a time; taken before mu
 	mu    sync.Mutex
 	subs  []func(News)
-	peers []member.Fellow
-	index map[string][]ormap.Entry // service to entries, rebuilt on change
-	old   bool
+	peers *member.Book
+	links map[string]bool          // the fellows of the overlay, with their starts
+	index map[string][]ormap.Entry // service to its entries by dot; a slice is never changed
 	turn  int
+	full  struct {
+		sync.Mutex
+		at  time.Time
+		all ormap.Delta // all of the map then, packed
+	}
+	await bool      // the refill has not come yet
+	good  time.Time // until when it is in touch with the mesh, for certain
+	pace  *pace
 	Mends int64
 }
 
 // New makes an empty replica; Start opens it to the fellows.
 func New(self member.Fellow, n *wire.Node, g *task.Group, log *event.Log, clock *hlc.Clock, beat, repair, bury time.Duration) *Replica {
-	r := &Replica{self: self, n: n, g: g, log: log, clock: clock, m: ormap.New(), dot: self.Node + "#" + self.Start, beat: beat, bury: bury, old: true}
-	r.tree = plumtree.New(self.Inner, self.Start, beat, 50*beat, r.send, r.hear)
+	r := &Replica{self: self, n: n, g: g, log: log, clock: clock, m: ormap.New(), dot: self.Node + "#" + self.Start, beat: beat, bury: bury, index: map[string][]ormap.Entry{}, peers: &member.Book{}}
+	r.pace = newPace(self.Role, n.Most, beat)
+	r.tree = plumtree.New(self.Inner, beat, 50*beat, r.send, r.hear, r.knows)
+	r.tree.Carry(plumtree.Bulk{Soon: r.soon, Give: r.give, Take: r.got, Find: r.find})
 	wire.On(n, "gossip", func(_ context.Context, _ wire.Hello, m plumtree.Message) (struct{}, error) {
 		r.tree.Take(m)
 		return struct{}{}, nil
 	})
-	wire.On(n, "replica.all", func(context.Context, wire.Hello, struct{}) (ormap.Delta, error) { return r.m.All(), nil })
+	wire.On(n, "replica.all", r.onAll)
+	wire.On(n, "replica.fill", r.onFill)
 	wire.On(n, "replica.digest", r.onDigest)
+	wire.On(n, "replica.swap", r.onSwap)
 	wire.On(n, "replica.mend", func(_ context.Context, _ wire.Hello, d ormap.Delta) (struct{}, error) {
 		r.take(d, true)
 		return struct{}{}, nil
@@ -76,16 +86,24 @@
 	})
 }
 
-func (r *Replica) hear(body []byte) {
+func (r *Replica) hear(body []byte) bool {
 	var d ormap.Delta
-	if wire.Unpack(body, &d) == nil {
-		r.take(d, false)
-	}
+	return wire.Unpack(body, &d) == nil && r.take(d, false)
 }
 
 // take merges a delta, tells the subscribers, and gossips on what came by
-// another way than the tree.
-func (r *Replica) take(d ormap.Delta, spread bool) {
+// another way than the tree; false means that nothing of it was new.
+func (r *Replica) take(d ormap.Delta, spread bool) bool {
+	news, removed := r.merge(d)
+	if spread {
+		r.spread(news, removed)
+	}
+	return !news.Empty()
+}
+
+// merge takes in a delta and tells the subscribers; given back are what was new
+// and the entries that are removed by it.
+func (r *Replica) merge(d ormap.Delta) (ormap.Delta, []ormap.Entry) {
 	why := map[ormap.Dot]string{}
 	for _, g := range d.Dead {
 		why[g.Dot] = g.Why
@@ -94,12 +112,11 @@
 	for _, e := range d.Adds {
 		r.clock.See(e.Dot.At)
 	}
-	news, added, removed := r.m.Merge(d)
-	if news.Empty() {
-		return
-	}
+	// Both at once: the index must not see two merges in another order than
+	// the map did.
 	r.mu.Lock()
-	r.old = true
+	news, added, removed := r.m.Merge(d)
+	r.indexed(added, removed)
 	subs := r.subs
 	r.mu.Unlock()
 	for _, e := range added {
@@ -112,9 +129,7 @@
 		}
 		r.tell(subs, News{kind, e, why[e.Dot]})
 	}
-	if spread {
-		r.cast(news)
-	}
+	return news, removed
 }
 
 func (r *Replica) tell(subs []func(News), n News) {
@@ -123,12 +138,6 @@
 	}
 }
 
-func (r *Replica) cast(d ormap.Delta) {
-	if body, err := msgpack.Marshal(d); err == nil {
-		r.tree.Cast(body)
-	}
-}
-
 // Subscribe adds a listener of events.
 func (r *Replica) Subscribe(f func(News)) {
 	r.mu.Lock()
@@ -163,15 +172,38 @@
 }
 
 // Peers sets the mesh's nodes.
-func (r *Replica) Peers(all []member.Fellow) {
+func (r *Replica) Peers(all *member.Book) {
+	links := all.Links(r.self.Node)
 	r.mu.Lock()
+	// Many that come at once are still telling of themselves: what is on its
+	// way would be found to differ over each link.
+	crowd := all.Len()-r.peers.Len() > plumtree.Burst
 	r.peers = all
-	r.mu.Unlock()
-	var to []string
-	for _, f := range member.Links(all, r.self.Node) {
+	was := r.links
+	r.links = map[string]bool{}
+	var to, fresh []string
+	for _, f := range links {
 		to = append(to, f.Inner)
+		mark := f.Node + "#" + f.Start
+		r.links[mark] = true
+		// One of the two is enough.
+		if !was[mark] && r.self.Node < f.Node {
+			fresh = append(fresh, f.Inner)
+		}
 	}
+	r.mu.Unlock()
 	r.tree.Links(to)
+	// What was told before a link stood did not go over it.
+	for _, a := range fresh {
+		r.g.Go("mend-link", func(ctx context.Context) {
+			if crowd {
+				task.Pause(ctx, 3*r.beat)
+			}
+			ctx, end := context.WithTimeout(ctx, 5*r.beat)
+			defer end()
+			_ = r.Mend(ctx, a)
+		})
+	}
 }
 
 // Collect drops old tombstones.
@@ -183,20 +215,6 @@
 // Tree gives the gossip tree, to read its counts.
 func (r *Replica) Tree() *plumtree.Tree { return r.tree }
 
-// list gives the entries of a service from the index.
-func (r *Replica) list(service string) []ormap.Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.old {
-		r.index = map[string][]ormap.Entry{}
-		for _, e := range r.m.Live(nil) {
-			r.index[e.Service] = append(r.index[e.Service], e)
-		}
-		r.old = false
-	}
-	return r.index[service]
-}
-
 // Services lists the names that have entries.
 func (r *Replica) Services() []string {
 	seen := map[string]bool{}
--- /dev/null
+++ b/internal/rules/arm.go
@@ -0,0 +1,131 @@
+package rules
+
+import (
+	"fmt"
+	"time"
+
+	"puffincrank/internal/settings"
+)
+
+// Arm is where the jobs of a path go and by which terms.
+type Arm struct {
+	Service string // empty with a split
+	Split   []Part
+	sum     float64 // of the weights
+	Class   string
+	Rank    int           // 0 matters most
+	Left    time.Duration // time that a job starts with
+	Aim     time.Duration // time in which an answer is of full use
+	Safe    bool
+	Bulk    string // "upload", "download" or neither
+	Tries   int
+	Name    string // "old" or "new"
+	Steps   []Step
+}
+
+// Part is one service's part of a path's jobs.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// To is the service of a job. By a hash of its id, so that one job has one
+// service at every front and at every look.
+func (a *Arm) To(job string) string {
+	if len(a.Split) == 0 {
+		return a.Service
+	}
+	at := spot("split", job) * a.sum
+	last := ""
+	for _, p := range a.Split {
+		if p.Weight <= 0 {
+			continue
+		}
+		last = p.Service
+		if at -= p.Weight; at < 0 {
+			break
+		}
+	}
+	// What rounding leaves over is the last one's.
+	return last
+}
+
+// Sends tells whether jobs of the arm could go to a service.
+func (a *Arm) Sends(service string) bool {
+	if len(a.Split) == 0 {
+		return a.Service == service
+	}
+	for _, p := range a.Split {
+		if p.Service == service && p.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// every is the steps of every arm today.
+var every = []Step{Nominate, HandOver, Weigh, Receipt}
+
+func (r *Rules) arm(at, name string, v settings.Values) (Arm, []settings.Fault) {
+	a := Arm{Name: name, Service: v.Text("service"), Class: v.Text("class"), Rank: int(v.Count("rank")), Tries: int(v.Count("tries")),
+		Left: time.Duration(v.Count("left_ms")) * time.Millisecond, Aim: time.Duration(v.Count("aim_ms")) * time.Millisecond, Steps: every}
+	if a.Aim == 0 {
+		a.Aim = a.Left / 4
+	}
+	kind := v.Text("repeat")
+	a.Safe = kind == "safe" || kind == "download"
+	if kind == "upload" || kind == "download" {
+		a.Bulk = kind
+	}
+	var bad []settings.Fault
+	wrong := func(field, f string, args ...any) {
+		bad = append(bad, settings.Fault{Place: at + "." + field, Wrong: fmt.Sprintf(f, args...)})
+	}
+	if a.Service != "" && !r.Services[a.Service] {
+		wrong("service", "no service %q", a.Service)
+	}
+	_, single := v["service"]
+	if _, split := v["split"]; split {
+		var more []settings.Fault
+		a.Split, a.sum, more = r.split(at+".split", v)
+		bad = append(bad, more...)
+		if single {
+			wrong("split", "a path has a service or a split, not both")
+		}
+	} else if !single {
+		wrong("service", "missing, and no split in its place")
+	}
+	_, known := r.Shares[a.Class]
+	switch {
+	case r.ranked && a.Class == "":
+		a.Class = fmt.Sprintf("rank-%d", a.Rank)
+	case r.ranked || a.Class != "" && !known:
+		wrong("class", "no class %q", a.Class)
+	case a.Class == "":
+		wrong("class", "missing")
+	}
+	return a, bad
+}
+
+func (r *Rules) split(at string, v settings.Values) (out []Part, sum float64, bad []settings.Fault) {
+	list, _ := v["split"].([]any)
+	for i, e := range list {
+		at := fmt.Sprintf("%s[%d]", at, i)
+		m, ok := e.(map[string]any)
+		if !ok {
+			bad = append(bad, settings.Fault{Place: at, Wrong: "must be an object"})
+			continue
+		}
+		row, more := r.read(TabSplit, m, at)
+		bad = append(bad, more...)
+		p := Part{row.Text("service"), row.Share("weight")}
+		if p.Service != "" && !r.Services[p.Service] {
+			bad = append(bad, settings.Fault{Place: at + ".service", Wrong: fmt.Sprintf("no service %q", p.Service)})
+		}
+		out, sum = append(out, p), sum+p.Weight
+	}
+	if sum <= 0 && len(bad) == 0 {
+		bad = append(bad, settings.Fault{Place: at, Wrong: "at least one weight must be over 0"})
+	}
+	return out, sum, bad
+}
--- a/internal/rules/match.go
+++ b/internal/rules/match.go
@@ -1,15 +1,41 @@
 package rules
 
 import (
-	"fmt"
-	"hash/fnv"
+	"strconv"
 	"strings"
 )
 
-// Match finds the path of a job: the longest prefix, the method by name
-// before any. Its cost grows with the segments of the URL, not with the paths.
-func (r *Rules) Match(method, url string) *Path {
-	own, any := r.by[method], r.by["any"]
+// Match finds the path of a job: one with the job's host before one without,
+// then the longest prefix, then the method by name before any. Its cost grows
+// with the segments of the URL, not with the paths.
+func (r *Rules) Match(host, method, url string) *Path {
+	if len(r.by) > 1 || r.by[""] == nil {
+		if name := bare(host); name != "" {
+			if p := r.by[name].match(method, url); p != nil {
+				return p
+			}
+		}
+	}
+	return r.by[""].match(method, url)
+}
+
+// bare is a host without its port and case.
+func bare(host string) string {
+	// An IPv6 number has colons of its own, within brackets.
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// place is the paths of one host: method to prefix to path.
+type place map[string]map[string]*Path
+
+func (m place) match(method, url string) *Path {
+	if m == nil {
+		return nil
+	}
+	own, any := m[method], m["any"]
 	for at := strings.TrimRight(url, "/"); ; {
 		if at == "" {
 			at = "/"
@@ -36,13 +62,24 @@
 	if p.Trial == 0 {
 		return &p.Base
 	}
-	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%d/%s", p.Trial, job)
-	x := h.Sum64()
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	if float64(x>>11)/float64(1<<53)*100 < p.Slice {
+	if spot(strconv.FormatUint(p.Trial, 10), job)*100 < p.Slice {
 		return &p.New
 	}
 	return &p.Base
 }
+
+// spot gives a job's place between 0 and 1, another one for each salt.
+func spot(salt, job string) float64 {
+	const most, times = 0xcbf29ce484222325, 0x100000001b3
+	x := uint64(most)
+	for i := range len(salt) {
+		x = (x ^ uint64(salt[i])) * times
+	}
+	x = (x ^ '/') * times
+	for i := range len(job) {
+		x = (x ^ uint64(job[i])) * times
+	}
+	x ^= x >> 32
+	x *= 0x9e3779b97f4a7c15
+	return float64(x>>11) / float64(1<<53)
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"time"
 
@@ -10,22 +11,12 @@
 )
 
 // Most bounds a document's size.
-const Most = 1 << 20
-
-// Arm is where the jobs of a path go and by which terms.
-type Arm struct {
-	Service string
-	Class   string
-	Left    time.Duration
-	Safe    bool
-	Tries   int
-	Name    string // "old" or "new"
-	Steps   []Step
-}
+const Most = 4 << 20
 
 // Path is one compiled path.
 type Path struct {
 	Name   string
+	Host   string // without port and in small letters; empty for any
 	Method string
 	Prefix string
 	Base   Arm
@@ -47,84 +38,162 @@
 
 // Rules is one compiled version.
 type Rules struct {
-	Version  uint64
-	Doc      []byte
-	Services map[string]bool
-	Shares   map[string]float64
-	Classes  []string
-	Paths    []*Path
-	by       map[string]map[string]*Path // method to prefix to path
-	names    map[string]*Path
-	RepShare float64
-	RepAllow int64
-	Queue    float64
-	Judge    settings.Values
-	Longest  time.Duration
+	Version   uint64
+	Number    uint64 // the operator's own; 0 when the document has none
+	Doc       []byte
+	Services  map[string]bool
+	Links     map[string]int    // bound on a worker's connections by service, where one is told
+	Probe     map[string]string // the URL path of a service's health, where one is told
+	Shares    map[string]float64
+	Classes   []string
+	Paths     []*Path
+	by        map[string]place // by host; "" is any
+	names     map[string]*Path
+	RepShare  float64
+	RepAllow  int64
+	Queue     float64
+	HeadBytes int           // bound on a caller's header
+	BodyBytes int           // bound on a caller's body; 0: the prop's
+	Head      time.Duration // time to read a header; 0: by props
+	Idle      time.Duration // time before an idle connection is closed; 0: by props
+	Judge     settings.Values
+	Longest   time.Duration
+	fill      func(settings.Table, settings.Values, map[string]any, string) []settings.Fault
+	short     map[int]time.Duration // by rank, the least aim of what isn't bulk
+	lanes     map[haste]int
+	ranked    bool // classes come from the ranks
+	rows      map[string][]settings.Kept
+	raw       map[string][]string
+	old       *Rules // while this is made: those that rows are taken from
+	strange   bool   // while this is made: a row kept means something else now
 }
 
 // Compile reads a document; every fault is named with its place.
 func Compile(version uint64, doc []byte) (*Rules, []settings.Fault, error) {
-	in, bad, err := settings.Parse(doc)
+	r, bad, err := compile(nil, version, doc)
+	if err != nil || len(bad) > 0 {
+		return nil, bad, err
+	}
+	return r, nil, nil
+}
+
+func compile(old *Rules, version uint64, doc []byte) (*Rules, []settings.Fault, error) {
+	var kept map[string][]settings.Kept
+	if old != nil {
+		kept = old.rows
+	}
+	in, raw, bad, err := settings.ParseRows(doc, kept)
 	if err != nil {
 		return nil, nil, err
 	}
-	r := &Rules{Version: version, Doc: doc, Services: map[string]bool{}, Shares: map[string]float64{},
-		by: map[string]map[string]*Path{}, names: map[string]*Path{}}
-	top, more := TabDoc.Read(in, "")
+	r := &Rules{Version: version, Doc: doc, Services: make(map[string]bool, len(raw["services"])), Links: map[string]int{}, Probe: map[string]string{},
+		Shares: map[string]float64{}, by: map[string]place{}, names: make(map[string]*Path, len(raw["paths"])), fill: settings.Table.Fill,
+		old: old, raw: raw, rows: map[string][]settings.Kept{}}
+	// Documents with a number of their own are written by programs that may be
+	// newer than this one: what they say besides is not for us.
+	if _, ok := in["version"]; ok {
+		r.fill = settings.Table.FillKnown
+	}
+	_, classes := in["classes"]
+	r.ranked = !classes
+	top, more := r.read(TabDoc, in, "")
 	bad = append(bad, more...)
+	r.Number = uint64(top.Count("version"))
 	bad = append(bad, r.services(top)...)
 	bad = append(bad, r.classes(top)...)
 	bad = append(bad, r.paths(top)...)
+	if r.ranked {
+		r.ranks()
+	}
+	r.hurry()
 	lim, _ := top["limits"].(map[string]any)
-	v, more := TabLimits.Read(lim, "limits")
+	v, more := r.read(TabLimits, lim, "limits")
 	bad = append(bad, more...)
 	r.RepShare, r.RepAllow, r.Queue = v.Share("repeat_share"), v.Count("repeat_allowance"), v.Share("queue_share")
+	r.HeadBytes, r.BodyBytes = int(v.Count("head_bytes")), int(v.Count("body_bytes"))
+	r.Head, r.Idle = time.Duration(v.Count("head_ms"))*time.Millisecond, time.Duration(v.Count("idle_ms"))*time.Millisecond
 	jud, _ := top["judge"].(map[string]any)
-	r.Judge, more = TabJudge.Read(jud, "judge")
+	r.Judge, more = r.read(TabJudge, jud, "judge")
 	bad = append(bad, more...)
 	if len(more) == 0 && r.Judge.Count("most_ms") <= r.Judge.Count("least_ms") {
 		bad = append(bad, settings.Fault{Place: "judge.most_ms", Wrong: "must be over least_ms"})
 	}
-	if len(bad) > 0 {
-		return nil, bad, nil
-	}
-	return r, nil, nil
+	r.old, r.raw = nil, nil
+	return r, bad, nil
+}
+
+// read checks one object by a table.
+func (r *Rules) read(tab settings.Table, in map[string]any, at string) (settings.Values, []settings.Fault) {
+	out := settings.Values{}
+	return out, r.fill(tab, out, in, at)
 }
 
-// each runs f over the objects of a list, with their places.
-func each(top settings.Values, name string, tab settings.Table, f func(at string, v settings.Values) []settings.Fault) []settings.Fault {
+// each runs f over the objects of a list, with their places, which makes of each
+// what is entered by put. The values are good only within f. Rows that are kept
+// of an earlier document are entered as they were made then.
+func (r *Rules) each(top settings.Values, name string, tab settings.Table, f func(at string, v settings.Values) (any, []settings.Fault), put func(any) []string) []settings.Fault {
 	list, ok := top[name].([]any)
 	if !ok {
 		return nil
 	}
 	var bad []settings.Fault
-	if len(list) == 0 {
+	// A numbered document may empty the mesh; by hand that is a mistake.
+	if len(list) == 0 && r.Number == 0 {
 		bad = append(bad, settings.Fault{Place: name, Wrong: "must have at least one"})
 	}
+	v := make(settings.Values, len(tab.Rows))
+	rows := make([]settings.Kept, 0, len(list))
+	enter := func(i int, made any, at func() string) {
+		rows = append(rows, settings.Kept{Raw: r.raw[name][i], Value: made})
+		for _, wrong := range put(made) {
+			field, what, _ := strings.Cut(wrong, " ")
+			bad = append(bad, settings.Fault{Place: at() + "." + field, Wrong: what})
+		}
+	}
+	defer func() { r.rows[name] = rows }()
 	for i, e := range list {
-		at := fmt.Sprintf("%s[%d]", name, i)
+		if k, ok := e.(*settings.Kept); ok {
+			enter(i, k.Value, func() string { return name + "[" + strconv.Itoa(i) + "]" })
+			continue
+		}
+		at := name + "[" + strconv.Itoa(i) + "]"
 		m, ok := e.(map[string]any)
 		if !ok {
 			bad = append(bad, settings.Fault{Place: at, Wrong: "must be an object"})
 			continue
 		}
-		v, more := tab.Read(m, at)
-		bad = append(bad, more...)
+		bad = append(bad, r.fill(tab, v, m, at)...)
 		// References are checked even when other values of the row are wrong,
 		// so that one answer names every fault.
-		bad = append(bad, f(at, v)...)
+		made, more := f(at, v)
+		bad = append(bad, more...)
+		enter(i, made, func() string { return at })
 	}
 	return bad
 }
 
+// service is what one row of the services says.
+type service struct {
+	name, probe string
+	links       int
+}
+
 func (r *Rules) services(top settings.Values) []settings.Fault {
-	return each(top, "services", TabService, func(at string, v settings.Values) []settings.Fault {
-		n := v.Text("name")
-		if r.Services[n] {
-			return []settings.Fault{{Place: at + ".name", Wrong: fmt.Sprintf("service %q is there twice", n)}}
+	return r.each(top, "services", TabService, func(_ string, v settings.Values) (any, []settings.Fault) {
+		return service{v.Text("name"), v.Text("fitness"), int(v.Count("links"))}, nil
+	}, func(made any) []string {
+		s := made.(service)
+		if r.Services[s.name] {
+			return []string{fmt.Sprintf("name service %q is there twice", s.name)}
 		}
-		if n != "" {
-			r.Services[n] = true
+		if s.name != "" {
+			r.Services[s.name] = true
+		}
+		if s.links > 0 {
+			r.Links[s.name] = s.links
+		}
+		if s.probe != "" {
+			r.Probe[s.name] = s.probe
 		}
 		return nil
 	})
@@ -133,10 +202,10 @@
 func (r *Rules) classes(top settings.Values) []settings.Fault {
 	sum := 0.0
 	whole := true
-	bad := each(top, "classes", TabClass, func(at string, v settings.Values) []settings.Fault {
+	bad := r.each(top, "classes", TabClass, func(at string, v settings.Values) (any, []settings.Fault) {
 		n := v.Text("name")
 		if _, dup := r.Shares[n]; dup {
-			return []settings.Fault{{Place: at + ".name", Wrong: fmt.Sprintf("class %q is there twice", n)}}
+			return nil, []settings.Fault{{Place: at + ".name", Wrong: fmt.Sprintf("class %q is there twice", n)}}
 		}
 		if _, ok := v["share"]; !ok || n == "" {
 			whole = false
@@ -146,57 +215,12 @@
 			r.Classes = append(r.Classes, n)
 		}
 		sum += v.Share("share")
-		return nil
-	})
+		return nil, nil
+	}, func(any) []string { return nil })
+	delete(r.rows, "classes")
 	// The sum says nothing when a share could not be read.
 	if whole && len(r.Classes) > 0 && math.Abs(sum-100) > 1e-6 {
 		bad = append(bad, settings.Fault{Place: "classes", Wrong: fmt.Sprintf("shares add up to %g, not 100", sum)})
 	}
 	return bad
 }
-
-func (r *Rules) paths(top settings.Values) []settings.Fault {
-	return each(top, "paths", TabPath, func(at string, v settings.Values) []settings.Fault {
-		p := &Path{}
-		var bad []settings.Fault
-		p.Name, p.Method, p.Prefix = v.Text("name"), v.Text("method"), v.Text("prefix")
-		p.Base, bad = r.arm(at, "old", v)
-		if t, ok := v["trial"].(map[string]any); ok {
-			tv, more := TabTrial.Read(t, at+".trial")
-			bad = append(bad, more...)
-			p.Trial, p.Slice = uint64(tv.Count("id")), tv.Share("slice")
-			p.New, more = r.arm(at+".trial", "new", tv)
-			bad = append(bad, more...)
-		}
-		if p.Name != "" && r.names[p.Name] != nil {
-			bad = append(bad, settings.Fault{Place: at + ".name", Wrong: fmt.Sprintf("path %q is there twice", p.Name)})
-		}
-		r.names[p.Name] = p
-		if p.Prefix != "/" {
-			p.Prefix = strings.TrimRight(p.Prefix, "/")
-		}
-		if r.by[p.Method] == nil {
-			r.by[p.Method] = map[string]*Path{}
-		}
-		if old := r.by[p.Method][p.Prefix]; old != nil && p.Prefix != "" {
-			bad = append(bad, settings.Fault{Place: at + ".prefix", Wrong: fmt.Sprintf("path %q matches the same", old.Name)})
-		}
-		r.by[p.Method][p.Prefix] = p
-		r.Paths = append(r.Paths, p)
-		r.Longest = max(r.Longest, p.Base.Left, p.New.Left)
-		return bad
-	})
-}
-
-func (r *Rules) arm(at, name string, v settings.Values) (Arm, []settings.Fault) {
-	a := Arm{Name: name, Service: v.Text("service"), Class: v.Text("class"), Left: time.Duration(v.Count("left_ms")) * time.Millisecond,
-		Safe: v.Text("repeat") == "safe", Tries: int(v.Count("tries")), Steps: []Step{Nominate, HandOver, Weigh, Receipt}}
-	var bad []settings.Fault
-	if a.Service != "" && !r.Services[a.Service] {
-		bad = append(bad, settings.Fault{Place: at + ".service", Wrong: fmt.Sprintf("no service %q", a.Service)})
-	}
-	if _, ok := r.Shares[a.Class]; a.Class != "" && !ok {
-		bad = append(bad, settings.Fault{Place: at + ".class", Wrong: fmt.Sprintf("no class %q", a.Class)})
-	}
-	return a, bad
-}
--- a/internal/rules/table.go
+++ b/internal/rules/table.go
@@ -20,17 +20,48 @@
 	return nil
 }
 
+func host(v any) error {
+	s, _ := v.(string)
+	if s == "" || len(s) > 260 || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f || strings.ContainsRune("/?#@\\", r) }) {
+		return errors.New("must be a host name, not empty")
+	}
+	if bare(s) == "" {
+		return errors.New("must be a host name before its port")
+	}
+	return nil
+}
+
+func ask(v any) error {
+	s, _ := v.(string)
+	if !strings.HasPrefix(s, "/") || len(s) > 256 || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '#' }) {
+		return errors.New("must begin with / and have no space")
+	}
+	return nil
+}
+
+func plain(v any) error {
+	if v != false {
+		return errors.New("TLS to workers is not spoken")
+	}
+	return nil
+}
+
 // Tables of the document, in the order of the docs.
 var (
 	TabDoc = settings.Table{Name: "document", Rows: []settings.Setting{
-		{Name: "services", Type: settings.Rows, Must: true, Rule: "at least one", Help: "the services, see below"},
-		{Name: "classes", Type: settings.Rows, Must: true, Rule: "shares add up to 100", Help: "the classes of service, see below"},
-		{Name: "paths", Type: settings.Rows, Must: true, Rule: "no two alike", Help: "the paths (routes), see below"},
+		{Name: "version", Type: settings.Count, Check: settings.In(1, 1<<60), Rule: "1 or more", Help: "the operator's own number of the document; with it, names that this program doesn't know are passed over"},
+		{Name: "services", Type: settings.Rows, Must: true, Rule: "at least one, unless numbered", Help: "the services, see below"},
+		{Name: "classes", Type: settings.Rows, Rule: "shares add up to 100", Help: "the classes of service, see below; worked out from the ranks when left out"},
+		{Name: "paths", Type: settings.Rows, Must: true, Rule: "at least one, unless numbered; no two alike", Help: "the paths (routes), see below"},
 		{Name: "limits", Type: settings.Row, Rule: "see below", Help: "bounds on repeats and queues"},
 		{Name: "judge", Type: settings.Row, Rule: "see below", Help: "bounds by which trials are judged"},
 	}}
 	TabService = settings.Table{Name: "services", Rows: []settings.Setting{
 		{Name: "name", Type: settings.Text, Must: true, Check: settings.Word, Rule: "a name, its own", Help: "what workers register under"},
+		{Name: "fitness", Type: settings.Text, Check: ask, Rule: "begins with /", Help: "the URL path where its workers are asked for their health; the mesh's own when left out"},
+		{Name: "links", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1<<30), Rule: "0 or more", Help: "connections that one worker takes from all callers; 0: no bound is told"},
+		{Name: "proto", Type: settings.Text, Def: "h1", Check: settings.OneOf("h1"), Rule: "h1", Help: "what its workers speak: HTTP/1.1"},
+		{Name: "tls", Type: settings.Flag, Def: false, Check: plain, Rule: "false", Help: "TLS to workers is not spoken"},
 	}}
 	TabClass = settings.Table{Name: "classes", Rows: []settings.Setting{
 		{Name: "name", Type: settings.Text, Must: true, Check: settings.Word, Rule: "a name, its own", Help: "the class"},
@@ -39,27 +70,42 @@
 	TabPath = settings.Table{Name: "paths", Rows: []settings.Setting{
 		{Name: "name", Type: settings.Text, Must: true, Check: settings.Word, Rule: "a name, its own", Help: "the path"},
 		{Name: "method", Type: settings.Text, Def: "any", Check: settings.OneOf("any", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"), Rule: "any, GET, HEAD, POST, PUT, PATCH or DELETE", Help: "the method matched"},
+		{Name: "host", Type: settings.Text, Check: host, Rule: "a host name", Help: "the host matched, whatever its case and port; any when left out"},
 		{Name: "prefix", Type: settings.Text, Must: true, Check: prefix, Rule: "begins with /, not under /puffin", Help: "the URL path, by whole segments; the longest match wins"},
-		{Name: "service", Type: settings.Text, Must: true, Check: settings.Word, Rule: "one of services", Help: "whose workers serve it"},
-		{Name: "class", Type: settings.Text, Must: true, Check: settings.Word, Rule: "one of classes", Help: "whose share of the slots it takes"},
-		{Name: "left_ms", Type: settings.Span, Def: int64(1000), Check: settings.In(10, 60000), Rule: "10 to 60000", Help: "time left that a job starts with"},
-		{Name: "repeat", Type: settings.Text, Def: "never", Check: settings.OneOf("never", "safe"), Rule: "never or safe", Help: "whether a job may be sent again when it may have run"},
-		{Name: "tries", Type: settings.Count, Def: int64(3), Check: settings.In(1, 10), Rule: "1 to 10", Help: "sends at the most, the first included"},
+		{Name: "service", Type: settings.Text, Check: settings.Word, Rule: "one of services", Help: "whose workers serve it; this or split"},
+		{Name: "split", Type: settings.Rows, Rule: "one weight over 0", Help: "several services that share its jobs, see below"},
+		{Name: "class", Type: settings.Text, Check: settings.Word, Rule: "one of classes, required with them", Help: "whose share of the slots it takes"},
+		{Name: "rank", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1000), Rule: "0 to 1000", Help: "how much it matters, 0 most; its class in a document without classes"},
+		{Name: "left_ms", Type: settings.Span, Def: int64(1000), Check: settings.In(1, 3600_000), Rule: "1 to 3600000", Help: "time left that a job starts with"},
+		{Name: "aim_ms", Type: settings.Span, Check: settings.In(1, 3600_000), Rule: "1 to 3600000", Help: "time within which an answer is of full use; a quarter of left_ms when left out"},
+		{Name: "repeat", Type: settings.Text, Def: "never", Check: settings.OneOf("never", "safe", "upload", "download"), Rule: "never, safe, upload or download", Help: "whether a job may be sent again when it may have run; upload is never with large bodies, download is safe with large answers"},
+		{Name: "tries", Type: settings.Count, Def: int64(3), Check: settings.In(1, 1000), Rule: "1 to 1000", Help: "sends at the most, the first included"},
 		{Name: "trial", Type: settings.Row, Rule: "set by the mesh", Help: "the other arm of a running trial; not for operators"},
 	}}
 	TabTrial = settings.Table{Name: "trial", Rows: []settings.Setting{
 		{Name: "id", Type: settings.Count, Must: true, Check: settings.In(1, 1<<60), Rule: "a number", Help: "the trial"},
 		{Name: "slice", Type: settings.Share, Must: true, Check: settings.Within(0.1, 50), Rule: "0.1 to 50", Help: "percent of the path's jobs"},
-		{Name: "service", Type: settings.Text, Must: true, Check: settings.Word, Rule: "one of services", Help: "as in paths"},
-		{Name: "class", Type: settings.Text, Must: true, Check: settings.Word, Rule: "one of classes", Help: "as in paths"},
-		{Name: "left_ms", Type: settings.Span, Must: true, Check: settings.In(10, 60000), Rule: "10 to 60000", Help: "as in paths"},
-		{Name: "repeat", Type: settings.Text, Must: true, Check: settings.OneOf("never", "safe"), Rule: "never or safe", Help: "as in paths"},
-		{Name: "tries", Type: settings.Count, Must: true, Check: settings.In(1, 10), Rule: "1 to 10", Help: "as in paths"},
+		{Name: "service", Type: settings.Text, Check: settings.Word, Rule: "one of services", Help: "as in paths"},
+		{Name: "split", Type: settings.Rows, Rule: "one weight over 0", Help: "as in paths"},
+		{Name: "class", Type: settings.Text, Check: settings.Word, Rule: "one of classes, required with them", Help: "as in paths"},
+		{Name: "rank", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1000), Rule: "0 to 1000", Help: "as in paths"},
+		{Name: "left_ms", Type: settings.Span, Must: true, Check: settings.In(1, 3600_000), Rule: "1 to 3600000", Help: "as in paths"},
+		{Name: "aim_ms", Type: settings.Span, Check: settings.In(1, 3600_000), Rule: "1 to 3600000", Help: "as in paths"},
+		{Name: "repeat", Type: settings.Text, Must: true, Check: settings.OneOf("never", "safe", "upload", "download"), Rule: "never, safe, upload or download", Help: "as in paths"},
+		{Name: "tries", Type: settings.Count, Must: true, Check: settings.In(1, 1000), Rule: "1 to 1000", Help: "as in paths"},
+	}}
+	TabSplit = settings.Table{Name: "split", Rows: []settings.Setting{
+		{Name: "service", Type: settings.Text, Must: true, Check: settings.Word, Rule: "one of services", Help: "whose workers serve a part of the jobs"},
+		{Name: "weight", Type: settings.Share, Must: true, Check: settings.Within(0, 1e9), Rule: "0 to 1e9", Help: "its part, as a ratio to the sum of the weights"},
 	}}
 	TabLimits = settings.Table{Name: "limits", Rows: []settings.Setting{
 		{Name: "repeat_share", Type: settings.Share, Def: 0.2, Check: settings.Within(0, 1), Rule: "0 to 1", Help: "repeats to a service as a part of its first sends, over the window"},
 		{Name: "repeat_allowance", Type: settings.Count, Def: int64(10), Check: settings.In(0, 1000), Rule: "0 to 1000", Help: "repeats besides, mesh-wide, over the window"},
 		{Name: "queue_share", Type: settings.Share, Def: 1.0, Check: settings.Within(0, 10), Rule: "0 to 10", Help: "jobs that may wait for a class at a worker, as a ratio to its slots"},
+		{Name: "head_bytes", Type: settings.Count, Def: int64(65536), Check: settings.In(1, 1<<40), Rule: "1 or more", Help: "bound on the header of a caller's job"},
+		{Name: "body_bytes", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1<<40), Rule: "0 or more", Help: "bound on the body of a caller's job; 0: the prop's"},
+		{Name: "head_ms", Type: settings.Span, Def: int64(0), Check: settings.In(0, 86400_000), Rule: "0 to 86400000", Help: "time in which a header must be read; 0: worked out from the props"},
+		{Name: "idle_ms", Type: settings.Span, Def: int64(0), Check: settings.In(0, 86400_000), Rule: "0 to 86400000", Help: "time after which a caller's idle connection is closed; 0: worked out from the props"},
 	}}
 	TabJudge = settings.Table{Name: "judge", Rows: []settings.Setting{
 		{Name: "slice", Type: settings.Share, Def: 10.0, Check: settings.Within(0.1, 50), Rule: "0.1 to 50", Help: "percent of a path's jobs that try a change"},
@@ -74,4 +120,4 @@
 )
 
 // All lists the tables for the docs.
-var All = []settings.Table{TabDoc, TabService, TabClass, TabPath, TabTrial, TabLimits, TabJudge}
+var All = []settings.Table{TabDoc, TabService, TabClass, TabPath, TabSplit, TabTrial, TabLimits, TabJudge}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -18,6 +18,8 @@
 	"puffincrank/internal/disk"
 	"puffincrank/internal/env"
 	"puffincrank/internal/props"
+	"puffincrank/internal/settings"
+	"puffincrank/internal/tongue"
 	"puffincrank/internal/version"
 )
 
@@ -27,14 +29,41 @@
 	Stop()
 }
 
+// Site is where a program may find its settings instead of a file of ours, and
+// the tongue that is spoken there.
+type Site struct {
+	Settings func(program string) (map[string]any, error)
+	File     func() string // where they stand
+	Tongue   tongue.Tongue
+}
+
+// load reads the props: from the site with the flag --site, or from our own
+// file and flags.
+func load(name string, args []string, site Site) (props.Props, []settings.Fault, error) {
+	if len(args) == 1 && args[0] == "--site" && site.Settings != nil {
+		in, err := site.Settings(name)
+		if err != nil {
+			return props.Props{}, nil, err
+		}
+		return props.From(name, in)
+	}
+	return props.Load(name, args)
+}
+
 // Main runs a program until it is told to end; the result is the exit code:
 // 0 after a polite stop, 2 for bad props, 1 for a start that failed.
-func Main(name string, args []string, build func(props.Props, env.Env) (Program, error)) int {
+func Main(name string, args []string, site Site, build func(props.Props, env.Env) (Program, error)) int {
 	if len(args) == 1 && args[0] == "--version" {
 		fmt.Println(version.Line(name))
 		return 0
 	}
-	p, bad, err := props.Load(name, args)
+	w := &watch{name: name, load: func() (props.Props, []settings.Fault, error) { return load(name, args, site) }, file: props.File(name, args)}
+	if len(args) == 1 && args[0] == "--site" && site.File != nil {
+		w.file = site.File()
+	}
+	// What it looks like is noted before it is read: a change in between is seen.
+	w.seen = w.stat()
+	p, bad, err := w.load()
 	if errors.Is(err, arg.ErrHelp) {
 		return 0
 	}
@@ -49,6 +78,11 @@
 		return 2
 	}
 	e := env.Real(p.Node)
+	if len(args) == 1 && args[0] == "--site" {
+		e.Say = site.Tongue
+	}
+	remember(p)
+	w.now, w.log, e.Look = p, e.Log, w.look
 	if p.Data != "" {
 		dir, err := disk.Open(p.Data)
 		if err != nil {
@@ -60,7 +94,7 @@
 	// The signals are caught before the ports open: a stop right after the
 	// start is polite too.
 	sig := make(chan os.Signal, 1)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	prog, err := build(p, e)
 	if err == nil {
 		err = prog.Start()
@@ -69,7 +103,17 @@
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return 1
 	}
-	<-sig
+	w.mu.Lock()
+	if w.prog, _ = prog.(Again); w.prog == nil {
+		w.prog = fixed{}
+	}
+	w.mu.Unlock()
+	for s := range sig {
+		if s != syscall.SIGHUP {
+			break
+		}
+		w.read()
+	}
 	prog.Stop()
 	return 0
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -5,6 +5,7 @@
 import (
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/member"
+	"puffincrank/internal/patch"
 )
 
 // Beat renews a proxy's session with one control node.
@@ -15,6 +16,11 @@
 	Bye     bool          `msgpack:"b"`
 	Tallies []Tally       `msgpack:"t,omitempty"`
 	Live    []string      `msgpack:"l,omitempty"` // paths that had jobs lately
+	Diff    bool          `msgpack:"d,omitempty"` // it takes what differs
+	Core    uint64        `msgpack:"c,omitempty"` // the hash of the control nodes that it knows
+	Look    bool          `msgpack:"k,omitempty"` // asks only whether the control node is in touch
+	Patch   bool          `msgpack:"p,omitempty"` // it takes a document as the steps from the one it holds
+	Short   bool          `msgpack:"z,omitempty"` // it takes members in their short form, and a document compressed
 }
 
 // Report is one front's tallies as its control node holds them.
@@ -34,14 +40,46 @@
 	Doc     []byte          `msgpack:"d,omitempty"`
 	Hash    uint64          `msgpack:"h"`
 	Members []member.Fellow `msgpack:"m,omitempty"`
-	Core    []string        `msgpack:"c"` // inner addresses of the control nodes now
-	Count   int             `msgpack:"n"` // fronts in the mesh
+	Core    []string        `msgpack:"c"`           // inner addresses of the control nodes now, if they differ
+	Count   int             `msgpack:"n"`           // fronts in the mesh
+	Diff    bool            `msgpack:"f,omitempty"` // Come and Gone lead from the beat's list to Hash
+	Come    []member.Fellow `msgpack:"w,omitempty"`
+	Gone    []string        `msgpack:"g,omitempty"`
+	Steps   []patch.Step    `msgpack:"s,omitempty"` // from the beat's Version to Version, in the place of Doc
+	Short   []byte          `msgpack:"z,omitempty"` // Come and Gone in their short form
+	Shrunk  []byte          `msgpack:"u,omitempty"` // the document compressed, in the place of Doc
 }
 
-// Push sends a new configuration over the session at once.
+// ListAsk asks for the parts of the list of members that differ from the
+// digests.
+type ListAsk struct {
+	Digests []uint64 `msgpack:"d"`
+	Short   bool     `msgpack:"z,omitempty"` // it takes members in their short form
+}
+
+// ListBack brings some of the parts that differ, and says whether others do.
+type ListBack struct {
+	Hash  uint64          `msgpack:"h"`
+	Parts []int           `msgpack:"p"`
+	List  []member.Fellow `msgpack:"l"`
+	More  bool            `msgpack:"m"`
+	Short []byte          `msgpack:"z,omitempty"` // List in its short form
+	Busy  bool            `msgpack:"b,omitempty"` // more was asked for than is handed out in a beat
+	Try   []string        `msgpack:"t,omitempty"` // of a busy one: who was given it lately
+}
+
+// Push sends a new configuration over the session at once: as steps from an
+// earlier one to a fellow that is likely to hold that, or whole.
 type Push struct {
-	Version uint64 `msgpack:"v"`
-	Doc     []byte `msgpack:"d"`
+	Version uint64       `msgpack:"v"`
+	Doc     []byte       `msgpack:"d"`
+	Steps   []patch.Step `msgpack:"s,omitempty"`
+	Patch   bool         `msgpack:"p,omitempty"` // of a question: steps are taken
+}
+
+// PushBack tells which version the fellow holds after a push.
+type PushBack struct {
+	Have uint64 `msgpack:"h"`
 }
 
 // Share is a control node's word on its sessions to the others.
@@ -51,12 +89,23 @@
 	List []member.Fellow `msgpack:"l,omitempty"`
 	Full bool            `msgpack:"u"`
 	Core []ledger.Member `msgpack:"c,omitempty"`
+	Diff bool            `msgpack:"d,omitempty"` // Come and Gone lead from the list with hash Base to Hash
+	Base uint64          `msgpack:"b,omitempty"`
+	Come []member.Fellow `msgpack:"w,omitempty"`
+	Gone []string        `msgpack:"g,omitempty"`
+	Met  uint64          `msgpack:"m,omitempty"` // names the control nodes that From hears
+	Pack []byte          `msgpack:"z,omitempty"` // List, or Come and Gone, in their short form
 }
 
-// ShareBack asks for the whole list when the hash is not known.
+// ShareBack asks for more when the hash is not known: for what differs from
+// the list that is held, or for the whole.
 type ShareBack struct {
 	Need bool          `msgpack:"n"`
 	Me   member.Fellow `msgpack:"m"`
+	Diff bool          `msgpack:"d,omitempty"` // it takes what differs
+	Have uint64        `msgpack:"h,omitempty"`
+	Near []string      `msgpack:"r,omitempty"` // control nodes heard here, when the asker hears others
+	Pack bool          `msgpack:"z,omitempty"` // it takes members in their short form
 }
 
 // Outer is an outside call that a proxy hands over.
@@ -64,6 +113,9 @@
 	Method string `msgpack:"m"`
 	URI    string `msgpack:"u"`
 	Body   []byte `msgpack:"b"`
+	// Rest is how long before the call's own end an application's change may
+	// last be proposed, in ms; 0: as told by the control node's own reading.
+	Rest int64 `msgpack:"r,omitempty"`
 }
 
 // OuterBack is its answer.
@@ -86,6 +138,17 @@
 	AgeMS   int64    `msgpack:"g" json:"age_ms"` // since the front knows the trial
 }
 
+// Word is how sure a node is of the configuration that it holds.
+type Word int
+
+// The words. Fronts of before don't give one; they were Sure or Lost.
+const (
+	Unsaid Word = iota
+	Sure        // it was the newest a moment ago
+	Lost        // every control node was found out of touch, so the node acts by what it has
+	Unsure      // neither
+)
+
 // Hand is a job on its way from the front to the owner.
 type Hand struct {
 	Job     string              `msgpack:"j"`
@@ -101,6 +164,18 @@
 	Head    map[string][]string `msgpack:"h"`
 	Body    []byte              `msgpack:"b"`
 	Left    int64               `msgpack:"l"`
+	Host    string              `msgpack:"o"`
+	Said    string              `msgpack:"d,omitempty"`  // the id that the worker is given; empty: Attempt
+	Caller  string              `msgpack:"c2,omitempty"` // the service at which the job began
+	Aim     int64               `msgpack:"i,omitempty"`  // ms left of the aim
+	Rush    bool                `msgpack:"ru,omitempty"` // it goes elsewhere rather than wait for a slot
+	Seen    bool                `msgpack:"sn,omitempty"` // its caller came back with it
+	Again   bool                `msgpack:"g,omitempty"`  // not the job's first send
+	Part    float64             `msgpack:"pt,omitempty"` // of a first send: how far it is the call of a repeated run, 0 to 1
+	Word    Word                `msgpack:"x,omitempty"`  // how sure the front was of Version, after the job was read
+	Wait    int64               `msgpack:"wt,omitempty"` // ms that it may wait for a slot at most; 0: as the owner sees fit
+	Stay    int64               `msgpack:"st,omitempty"` // of one that was refused elsewhere: ms of waiting that it has left; 0: no bound of its own
+	Rest    int64               `msgpack:"re,omitempty"` // ms until the front, told to end, waits for answers no more; 0: it was not told to
 }
 
 // The outcomes of an attempt.
@@ -112,15 +187,22 @@
 
 // Back is the outcome of an attempt.
 type Back struct {
-	Kind   string              `msgpack:"k"`
-	Why    string              `msgpack:"y,omitempty"`
-	Late   bool                `msgpack:"l,omitempty"` // unknown for want of time
-	Rules  bool                `msgpack:"r,omitempty"` // refused since front and owner hold different configurations
-	Status int                 `msgpack:"s,omitempty"`
-	Head   map[string][]string `msgpack:"h,omitempty"`
-	Body   []byte              `msgpack:"b,omitempty"`
-	Seal   string              `msgpack:"e,omitempty"`
-	Worker string              `msgpack:"w,omitempty"`
-	Come   int64               `msgpack:"o,omitempty"` // of a refusal: ms until there may be room
-	Used   int                 `msgpack:"u"`           // slots in use, -1 when not known
+	Kind    string              `msgpack:"k"`
+	Why     string              `msgpack:"y,omitempty"`
+	Late    bool                `msgpack:"l,omitempty"` // unknown for want of time
+	Rules   bool                `msgpack:"r,omitempty"` // refused since front and owner hold different configurations
+	Status  int                 `msgpack:"s,omitempty"`
+	Head    map[string][]string `msgpack:"h,omitempty"`
+	Body    []byte              `msgpack:"b,omitempty"`
+	Seal    string              `msgpack:"e,omitempty"`
+	Worker  string              `msgpack:"w,omitempty"`
+	Come    int64               `msgpack:"o,omitempty"`  // of a refusal: ms until there may be room
+	Used    int                 `msgpack:"u"`            // slots in use, -1 when not known
+	Version uint64              `msgpack:"v,omitempty"`  // of a refusal for the rules: what the owner holds
+	Ran     int64               `msgpack:"q,omitempty"`  // us that the worker took
+	Came    bool                `msgpack:"n,omitempty"`  // it arrived at the worker, run or not
+	Inner   bool                `msgpack:"in,omitempty"` // the path is called by other jobs, as the owner sees it
+	Pass    bool                `msgpack:"pa,omitempty"` // refused since no slot was free for one that would not wait
+	Pace    uint8               `msgpack:"p,omitempty"`  // how long jobs run there against its like, in eighths
+	Fail    uint8               `msgpack:"f,omitempty"`  // part of its last jobs that failed, in 64ths
 }
--- a/internal/settings/cast.go
+++ b/internal/settings/cast.go
@@ -1,28 +1,30 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/netip"
-	"regexp"
 	"strings"
 )
 
 func cast(t Type, raw any) (any, error) {
 	switch t {
 	case Text:
-		if s, ok := raw.(string); ok {
-			return s, nil
+		// The raw value is passed on as it is: another one of the same would be
+		// one more allocation for each setting of each row.
+		if _, ok := raw.(string); ok {
+			return raw, nil
 		}
 	case Count, Span:
 		if n, ok := raw.(json.Number); ok {
 			if i, err := n.Int64(); err == nil {
 				return i, nil
 			}
+			if i, ok := whole(n); ok {
+				return i, nil
+			}
 		}
 		return nil, errors.New("must be a whole number")
 	case Share:
@@ -33,8 +35,8 @@
 		}
 		return nil, errors.New("must be a number")
 	case Flag:
-		if b, ok := raw.(bool); ok {
-			return b, nil
+		if _, ok := raw.(bool); ok {
+			return raw, nil
 		}
 		return nil, errors.New("must be true or false")
 	case Addr:
@@ -59,19 +61,31 @@
 		}
 		return out, nil
 	case Rows:
-		if list, ok := raw.([]any); ok {
-			return list, nil
+		if _, ok := raw.([]any); ok {
+			return raw, nil
 		}
 		return nil, errors.New("must be a list of objects")
 	case Row:
-		if m, ok := raw.(map[string]any); ok {
-			return m, nil
+		if _, ok := raw.(map[string]any); ok {
+			return raw, nil
 		}
 		return nil, errors.New("must be an object")
 	}
 	return nil, errors.New("must be a text")
 }
 
+// whole reads a number written with a fraction that is none, such as 250.0 or
+// what is left of one after a change of units (550.0000000000001).
+func whole(n json.Number) (int64, bool) {
+	f, err := n.Float64()
+	near := math.Round(f)
+	// Past 2^53 a float no longer tells whole numbers apart.
+	if err != nil || math.Abs(near) > 1<<53 || math.Abs(f-near) > math.Abs(f)*1e-14 {
+		return 0, false
+	}
+	return int64(near), true
+}
+
 // IsAddr checks an IP number with a port.
 func IsAddr(s string) error {
 	a, err := netip.ParseAddrPort(s)
@@ -81,11 +95,16 @@
 	return nil
 }
 
-var word = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
-
 // Word checks a name.
 func Word(v any) error {
-	if s, ok := v.(string); !ok || !word.MatchString(s) {
+	s, ok := v.(string)
+	ok = ok && len(s) > 0 && len(s) <= 64
+	for i := 0; ok && i < len(s); i++ {
+		c := s[i]
+		plain := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		ok = plain || i > 0 && (c == '.' || c == '_' || c == '-')
+	}
+	if !ok {
 		return errors.New("must be 1 to 64 letters, digits, dots, dashes or underscores")
 	}
 	return nil
@@ -123,72 +142,6 @@
 	}
 }
 
-// Parse reads one JSON object whole. Names given twice in one object are
-// faults, since a plain decoder would let the last one win in silence.
-func Parse(data []byte) (map[string]any, []Fault, error) {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.UseNumber()
-	var twice []Fault
-	v, err := value(d, "", &twice, 0)
-	if err != nil {
-		return nil, nil, err
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, nil, errors.New("more follows after the document")
-	}
-	m, ok := v.(map[string]any)
-	if !ok {
-		return nil, nil, errors.New("the document must be an object")
-	}
-	return m, twice, nil
-}
-
-func value(d *json.Decoder, place string, twice *[]Fault, deep int) (any, error) {
-	// A bound on nesting keeps a hostile document from using up the stack.
-	if deep > 32 {
-		return nil, errors.New("nested too deep")
-	}
-	tok, err := d.Token()
-	if err != nil {
-		return nil, err
-	}
-	sign, ok := tok.(json.Delim)
-	if !ok {
-		return tok, nil
-	}
-	if sign == '[' {
-		list := []any{}
-		for d.More() {
-			v, err := value(d, fmt.Sprintf("%s[%d]", place, len(list)), twice, deep+1)
-			if err != nil {
-				return nil, err
-			}
-			list = append(list, v)
-		}
-		_, err = d.Token()
-		return list, err
-	}
-	m := map[string]any{}
-	for d.More() {
-		tok, err := d.Token()
-		if err != nil {
-			return nil, err
-		}
-		name, _ := tok.(string)
-		at := join(place, name)
-		v, err := value(d, at, twice, deep+1)
-		if err != nil {
-			return nil, err
-		}
-		if _, dup := m[name]; dup {
-			*twice = append(*twice, Fault{at, "given twice"})
-		}
-		m[name] = v
-	}
-	_, err = d.Token()
-	return m, err
-}
-
 // FromFlag turns the text of a flag into the raw value of its type.
 func FromFlag(t Type, s string) any {
 	switch t {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,44 +66,74 @@
 // Texts gives a list of strings.
 func (v Values) Texts(n string) []string { s, _ := v[n].([]string); return s }
 
-// Read checks one object by the table; every fault is named.
+// Read checks one object by the table; every fault is named, an unknown name
+// is one.
 func (t Table) Read(in map[string]any, place string) (Values, []Fault) {
-	out := Values{}
-	var bad []Fault
+	out := make(Values, len(t.Rows))
+	return out, t.Fill(out, in, place)
+}
+
+// Fill is Read into values that are used again for each row of a list.
+func (t Table) Fill(out Values, in map[string]any, place string) []Fault {
+	met, bad := t.known(out, in, place)
+	// Only an object with more names than were met is searched for the odd.
+	if met == len(in) {
+		return bad
+	}
 	known := map[string]bool{}
 	for _, s := range t.Rows {
 		known[s.Name] = true
-		at := join(place, s.Name)
+	}
+	var odd []string
+	for n := range in {
+		if !known[n] {
+			odd = append(odd, n)
+		}
+	}
+	sort.Strings(odd)
+	for _, n := range odd {
+		bad = append(bad, Fault{join(place, n), "unknown setting"})
+	}
+	return bad
+}
+
+// ReadKnown checks what the table knows of an object and passes over the rest.
+func (t Table) ReadKnown(in map[string]any, place string) (Values, []Fault) {
+	out := make(Values, len(t.Rows))
+	return out, t.FillKnown(out, in, place)
+}
+
+// FillKnown is ReadKnown into values that are used again.
+func (t Table) FillKnown(out Values, in map[string]any, place string) []Fault {
+	_, bad := t.known(out, in, place)
+	return bad
+}
+
+// known reads the table's rows and counts those that the object has.
+func (t Table) known(out Values, in map[string]any, place string) (met int, bad []Fault) {
+	clear(out)
+	for _, s := range t.Rows {
 		raw, ok := in[s.Name]
 		if !ok {
 			if s.Must {
-				bad = append(bad, Fault{at, "missing"})
+				bad = append(bad, Fault{join(place, s.Name), "missing"})
 			} else if s.Def != nil {
 				out[s.Name] = s.Def
 			}
 			continue
 		}
+		met++
 		v, err := cast(s.Type, raw)
 		if err == nil && s.Check != nil {
 			err = s.Check(v)
 		}
 		if err != nil {
-			bad = append(bad, Fault{at, err.Error()})
+			bad = append(bad, Fault{join(place, s.Name), err.Error()})
 			continue
 		}
 		out[s.Name] = v
 	}
-	var odd []string
-	for n := range in {
-		if !known[n] {
-			odd = append(odd, n)
-		}
-	}
-	sort.Strings(odd)
-	for _, n := range odd {
-		bad = append(bad, Fault{join(place, n), "unknown setting"})
-	}
-	return out, bad
+	return met, bad
 }
 
 func join(place, name string) string {
--- /dev/null
+++ b/internal/sim/dayacts_test.go
@@ -0,0 +1,202 @@
+package sim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"puffincrank/internal/stand/play"
+	"puffincrank/internal/stand/witness"
+)
+
+var troubles = []trouble{
+	{"release", none, func(a act) {
+		// The workers of a service are replaced one after the other.
+		service := a.d.services[a.IntN(len(a.d.services))]
+		for range 3 {
+			m := a.take(func(m *machine) bool { return m.service == service })
+			if m == nil {
+				return
+			}
+			a.say("release of %s", m.name)
+			a.add(m.Area, service, "")
+			Wait(a.ms(1500, 1500))
+			m.w.Leave(context.Background())
+			a.retire(m)
+		}
+	}},
+	{"reuse", none, func(a act) {
+		m := a.take(a.enough)
+		if m == nil {
+			return
+		}
+		a.say("%s ends, its address goes to another service", m.name)
+		if a.IntN(2) == 0 {
+			m.w.Leave(context.Background())
+		} else {
+			m.w.Kill()
+		}
+		a.retire(m)
+		Wait(2 * time.Second)
+		a.add(m.Area, a.d.services[a.IntN(len(a.d.services))], m.addr)
+	}},
+	{"scale in", none, func(a act) {
+		if m := a.take(a.enough); m != nil {
+			a.say("%s is emptied and taken away", m.name)
+			m.w.Leave(context.Background())
+			a.retire(m)
+		}
+	}},
+	{"crash", none, func(a act) {
+		m := a.take(nil)
+		if m == nil {
+			return
+		}
+		defer a.free(m)
+		a.say("worker of %s crashes", m.name)
+		m.w.Kill()
+		Wait(a.ms(300, 1500))
+		a.startWorker(m)
+	}},
+	{"ill", none, func(a act) {
+		i := play.Ills{}
+		switch a.IntN(4) {
+		case 0:
+			i.Lose = 0.2 + 0.7*a.Float64()
+		case 1:
+			i.Spoil = 0.2 + 0.7*a.Float64()
+		case 2:
+			i.Slow = 4 + 8*a.Float64()
+		case 3:
+			i.Fail, i.Lose, i.Spoil = 0.2, 0.1, 0.1
+		}
+		// One or two workers, or all of a service.
+		service, n := "", 1+a.IntN(2)
+		if a.IntN(3) == 0 {
+			service, n = a.d.services[a.IntN(len(a.d.services))], len(a.all())
+		}
+		var all []*machine
+		for range n {
+			if m := a.take(func(m *machine) bool { return service == "" || m.service == service }); m != nil {
+				a.say("worker of %s is ill: %+v", m.name, i)
+				m.w.Fall(i)
+				all = append(all, m)
+				defer a.free(m)
+			}
+		}
+		Wait(a.ms(4000, 5000))
+		for _, m := range all {
+			m.w.Fall(play.Ills{})
+		}
+	}},
+	{"node kill", none, func(a act) {
+		if m := a.take(nil); m != nil {
+			a.say("node of %s killed", m.name)
+			a.kill(m)
+			a.free(m)
+		}
+	}},
+	{"node power", none, func(a act) {
+		if m := a.take(nil); m != nil {
+			a.say("%s loses power", m.name)
+			a.out(m)
+			a.free(m)
+		}
+	}},
+	{"herd kill", whole, func(a act) {
+		all := a.some(0.2 + 0.3*a.Float64())
+		a.say("%d nodes killed at once", len(all))
+		var over sync.WaitGroup
+		for _, m := range all {
+			over.Add(1)
+			a.g.Go("herd", func(context.Context) { defer over.Done(); a.kill(m); a.free(m) })
+		}
+		if a.IntN(2) == 0 {
+			a.say("and all of the core")
+			for _, c := range a.cores() {
+				a.killCore(c, false)
+			}
+			Wait(a.ms(300, 600))
+			for _, c := range a.cores() {
+				a.startCore(c, false)
+			}
+		}
+		over.Wait()
+	}},
+	{"node freeze", none, func(a act) {
+		m := a.take(nil)
+		if m == nil {
+			return
+		}
+		defer a.free(m)
+		defer a.wit.Touch.Begin(m.name, "frozen")()
+		long := a.ms(500, 5000)
+		a.say("node of %s frozen for %v", m.name, long)
+		a.Net.Freeze("node-"+m.Host, true)
+		Wait(long)
+		a.Net.Freeze("node-"+m.Host, false)
+	}},
+	{"node cut", none, func(a act) {
+		m := a.take(nil)
+		if m == nil {
+			return
+		}
+		defer a.free(m)
+		defer a.wit.Touch.Begin(m.name, "cut")()
+		long := a.ms(1000, 6000)
+		a.say("%s cut off for %v", m.name, long)
+		a.cutOff(m, true)
+		Wait(long)
+		a.cutOff(m, false)
+	}},
+	{"node slow", none, func(a act) {
+		m := a.take(nil)
+		if m == nil {
+			return
+		}
+		defer a.free(m)
+		defer a.wit.Touch.Begin(m.name, witness.Slowed)()
+		by := a.ms(10, 300)
+		a.say("all to and from %s takes %v longer", m.name, by)
+		a.Net.Lag(m.Host, by)
+		Wait(a.ms(2000, 5000))
+		a.Net.Lag(m.Host, 0)
+	}},
+	{"node clock", none, func(a act) {
+		m := a.take(nil)
+		if m == nil {
+			return
+		}
+		defer a.free(m)
+		by := time.Duration(a.IntN(20001)-10000) * time.Millisecond
+		a.say("the time of day at %s jumps by %v", m.name, by)
+		a.wit.Touch.Begin(m.name, "clock")()
+		m.Skew(by)
+		Wait(a.ms(2000, 6000))
+		m.Skew(0)
+		a.wit.Touch.Begin(m.name, "clock")()
+	}},
+	{"node roll", none, func(a act) {
+		for range 2 + a.IntN(3) {
+			m := a.take(nil)
+			if m == nil {
+				return
+			}
+			a.say("node of %s stopped and started", m.name)
+			end := a.wit.Touch.Begin(m.name, witness.Planned+"roll")
+			a.stopNode(m)
+			Wait(a.ms(100, 400))
+			a.boot(m)
+			end()
+			a.free(m)
+			Wait(a.ms(300, 1000))
+		}
+	}},
+	{"press", none, func(a act) {
+		by := int64(150 + a.IntN(250))
+		a.say("the load is %d in a hundred", by)
+		a.site.press.Store(by)
+		Wait(a.ms(4000, 5000))
+		a.site.press.Store(100)
+	}},
+}
--- /dev/null
+++ b/internal/sim/daydocs_test.go
@@ -0,0 +1,153 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"puffincrank/internal/stand/play"
+)
+
+// next makes the draft of a change; numbers climb in uneven steps.
+func (a act) next() *play.Draft {
+	a.smu.Lock()
+	defer a.smu.Unlock()
+	d := a.draft.Copy()
+	d.Number += 1 + uint64(a.IntN(5))
+	a.draft = d
+	return d
+}
+
+// alter changes something in a draft: where a path goes, its time, or which
+// paths there are.
+func (a act) alter(d *play.Draft) {
+	first := a.d.draft(0)
+	w := &d.Ways[a.IntN(len(first.Ways))]
+	one, two := a.d.services[a.IntN(len(a.d.services))], a.d.services[a.IntN(len(a.d.services))]
+	switch a.IntN(5) {
+	case 0:
+		w.Split = map[string]int{one: 1}
+	case 1:
+		if one != two {
+			w.Split = map[string]int{one: 90, two: 10}
+		}
+	case 2:
+		w.Left = w.Left * time.Duration(60+a.IntN(80)) / 100
+	case 3:
+		a.grow(d, 1+a.IntN(2))
+	default:
+		// Back to where all began, and some added ones go.
+		copy(d.Ways, first.Ways)
+		if n := len(d.Ways); n > len(first.Ways) {
+			a.drop(d.Ways[n-1])
+			d.Ways = d.Ways[:n-1]
+		}
+	}
+}
+
+// grow adds paths.
+func (a act) grow(d *play.Draft, n int) {
+	for range n {
+		a.smu.Lock()
+		a.extra++
+		w := play.Way{Name: fmt.Sprint("x", a.extra), Host: d.Ways[0].Host, Prefix: fmt.Sprintf("/x%d-%d/", a.extra, a.IntN(1000)), Repeat: "safe",
+			Split: map[string]int{a.d.services[a.IntN(len(a.d.services))]: 1}, Left: time.Second, Aim: 300 * time.Millisecond, Tries: 2, Rank: 2}
+		a.added = append(a.added, w)
+		a.smu.Unlock()
+		d.Ways = append(d.Ways, w)
+	}
+}
+
+func (a act) drop(w play.Way) {
+	a.smu.Lock()
+	defer a.smu.Unlock()
+	for i, o := range a.added {
+		if o.Prefix == w.Prefix {
+			a.added = append(a.added[:i], a.added[i+1:]...)
+			return
+		}
+	}
+}
+
+// probe sends a few requests directly, on a path just added or removed and on
+// one that never was, to some machines that get clients.
+func (a act) probe(ways ...play.Way) {
+	ways = append(ways, play.Way{Host: a.draft.Ways[0].Host, Prefix: fmt.Sprintf("/never%d/", a.IntN(1000))})
+	for range 4 {
+		m := a.all()[a.IntN(len(a.all()))]
+		if m.c.Out.Load() {
+			continue
+		}
+		for _, w := range ways {
+			l := &play.Line{Kind: "probe", Host: w.Host, Method: "GET", Prefix: w.Prefix, Repeat: true, Back: 50, Work: ms(10), Left: time.Second}
+			a.g.Go("probe", func(ctx context.Context) { m.c.Probe(ctx, l) })
+		}
+		Wait(a.ms(50, 700))
+	}
+}
+
+// fresh lists the paths of one draft that another has not.
+func fresh(d, old *play.Draft) (out []play.Way) {
+	has := map[string]bool{}
+	for _, w := range old.Ways {
+		has[w.Prefix] = true
+	}
+	for _, w := range d.Ways {
+		if !has[w.Prefix] {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+var docTroubles = []trouble{
+	{"change", none, func(a act) {
+		for range 1 + a.IntN(3) {
+			old := a.draft
+			d := a.next()
+			a.alter(d)
+			ok := a.op.Send(a.g.Context(), d, "", "")
+			a.say("document %d sent, taken %v", d.Number, ok)
+			a.probe(append(fresh(d, old), fresh(old, d)...)...)
+			Wait(a.ms(200, 2500))
+		}
+	}},
+	{"race", none, func(a act) {
+		one, two := a.next(), a.next()
+		if a.IntN(2) == 0 {
+			two.Number = one.Number
+		}
+		a.alter(one)
+		a.alter(two)
+		a.say("documents %d and %d at once", one.Number, two.Number)
+		over := make(chan struct{}, 2)
+		for _, d := range []*play.Draft{one, two} {
+			a.g.Go("race", func(ctx context.Context) { a.op.Send(ctx, d, "", ""); over <- struct{}{} })
+		}
+		<-over
+		<-over
+		a.probe()
+	}},
+	{"broken", none, func(a act) {
+		for range 1 + a.IntN(3) {
+			b := play.Breaks[a.IntN(len(play.Breaks))]
+			d := a.next()
+			a.alter(d)
+			a.say("document %d is broken: %s", d.Number, b.Name)
+			a.op.Send(a.g.Context(), d, b.Of(d), b.Name)
+			a.probe()
+		}
+	}},
+	{"again", none, func(a act) {
+		a.say("an older document arrives again")
+		a.op.Again(a.g.Context())
+	}},
+	{"read", none, func(a act) { a.op.Read(a.g.Context(), 3*time.Second, false) }},
+	{"big", none, func(a act) {
+		d := a.next()
+		a.grow(d, 30)
+		ok := a.op.Send(a.g.Context(), d, "", "")
+		a.say("document %d with 30 paths more, taken %v", d.Number, ok)
+		a.probe(fresh(d, a.site.d.draft(0))[:3]...)
+	}},
+}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io/fs"
 	"sort"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"puffincrank/internal/disk"
@@ -19,7 +21,11 @@
 	room  int // bytes left when bound is set
 	bound bool
 	Syncs int
-	ice   *ice // of the process that has it
+	ice   *ice   // of the process that has it
+	stuck *ice   // holds the syncs of some files
+	which string // how the names of those begin
+	deny  bool
+	outs  int // losses of power
 }
 
 type node struct {
@@ -28,9 +34,14 @@
 }
 
 // NewDisk makes an empty disk.
-func NewDisk() *Disk { return &Disk{ice: &ice{}, now: map[string]*node{}, safe: map[string]*node{}} }
+func NewDisk() *Disk {
+	return &Disk{ice: &ice{}, stuck: &ice{}, now: map[string]*node{}, safe: map[string]*node{}}
+}
+
+// errFull is what the kernel says of a disk without room.
+var errFull error = syscall.ENOSPC
 
-var errFull = errors.New("no space left on device")
+var errBad = errors.New("input/output error")
 
 // Slow sets the time that each sync takes.
 func (d *Disk) Slow(lag time.Duration) {
@@ -39,6 +50,21 @@
 	d.mu.Unlock()
 }
 
+// Hang holds the syncs of the files whose names begin with which; "" is all.
+func (d *Disk) Hang(which string, on bool) {
+	d.mu.Lock()
+	d.which = which
+	d.mu.Unlock()
+	d.stuck.set(on)
+}
+
+// Deny refuses every write and sync.
+func (d *Disk) Deny(on bool) {
+	d.mu.Lock()
+	d.deny = on
+	d.mu.Unlock()
+}
+
 // Room bounds the bytes that may still be written; negative frees the disk.
 func (d *Disk) Room(n int) {
 	d.mu.Lock()
@@ -46,10 +72,20 @@
 	d.mu.Unlock()
 }
 
-// Power loses all that was not synced.
+// Power loses all that was not synced. Every second time the folder is as the
+// process last saw it, though it was not synced, and new files are torn.
 func (d *Disk) Power() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.outs++; d.outs%2 == 0 {
+		d.safe = map[string]*node{}
+		for k, f := range d.now {
+			if f.saved == nil {
+				f.saved = append([]byte(nil), f.data[:len(f.data)/2]...)
+			}
+			d.safe[k] = f
+		}
+	}
 	d.now = map[string]*node{}
 	for k, f := range d.safe {
 		n := &node{data: append([]byte(nil), f.saved...), saved: f.saved}
@@ -83,13 +119,17 @@
 }
 
 type file struct {
-	d *Disk
-	n *node
+	d    *Disk
+	n    *node
+	name string
 }
 
 func (f *file) Write(b []byte) (int, error) {
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
+	if f.d.deny {
+		return 0, errBad
+	}
 	if f.d.bound {
 		if f.d.room < len(b) {
 			return 0, errFull
@@ -100,18 +140,33 @@
 	return len(b), nil
 }
 
-func (f *file) Sync() error {
-	f.d.mu.Lock()
-	lag := f.d.lag
-	f.d.mu.Unlock()
+// wait is the time that a sync takes; the folder's own name is empty.
+func (d *Disk) wait(name string) {
+	d.mu.Lock()
+	lag, held := d.lag, strings.HasPrefix(name, d.which)
+	d.mu.Unlock()
 	if lag > 0 {
 		time.Sleep(lag)
 	}
-	f.d.ice.hold()
+	if held {
+		d.stuck.hold()
+	}
+	d.ice.hold()
+}
+
+func (f *file) Sync() error {
+	f.d.wait(f.name)
 	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	if f.d.deny {
+		return errBad
+	}
 	f.n.saved = append([]byte(nil), f.n.data...)
+	if f.d.now[f.name] == f.n {
+		// A new file lasts with its own sync.
+		f.d.safe[f.name] = f.n
+	}
 	f.d.Syncs++
-	f.d.mu.Unlock()
 	return nil
 }
 
@@ -124,7 +179,7 @@
 	defer d.mu.Unlock()
 	n := &node{}
 	d.now[name] = n
-	return &file{d, n}, nil
+	return &file{d, n, name}, nil
 }
 
 // Rename moves a file; it lasts only once the folder is synced.
@@ -155,8 +210,13 @@
 
 // SyncDir makes names last.
 func (d *Disk) SyncDir() error {
+	d.wait("")
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.deny {
+		return errBad
+	}
+	d.Syncs++
 	d.safe = map[string]*node{}
 	for k, n := range d.now {
 		d.safe[k] = n
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -13,6 +13,7 @@
 // unsynced bytes go too.
 func (f *Fleet) KillCore(c *Core, power bool) {
 	f.Net.Kill(c.Host)
+	c.Disk.Hang("", false)
 	f.Net.Freeze("store-"+c.Host, false)
 	f.Net.Freeze("core-"+c.Host, false)
 	if c.Store != nil {
--- /dev/null
+++ b/internal/sim/growcore_test.go
@@ -0,0 +1,74 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/event"
+)
+
+// TestCoreGrows: a core of one to seven machines, all told of the same three
+// at most, grows at once to twice what it is to bear and one; the rest stand
+// by. One that can't is warned of by name, and only that one.
+func TestCoreGrows(t *testing.T) {
+	t.Parallel()
+	for i, c := range []struct{ cores, bear, voters int }{{1, 0, 1}, {3, 1, 3}, {5, 2, 5}, {7, 3, 7}, {7, 1, 3}, {4, 2, 4}, {1, 1, 1}} {
+		t.Run(fmt.Sprintf("%d to bear %d", c.cores, c.bear), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				l := newLab(t, uint64(i)+540, c.cores, c.bear)
+				defer l.Stop()
+				l.up()
+				took := l.Until(4*time.Second, "all places are taken", func() bool { return len(l.places()) == c.voters })
+				t.Logf("%d voters %v after the first writer", c.voters, took.Round(time.Millisecond))
+				l.next(2 * time.Second)
+				Wait(6 * time.Second)
+				if n := len(l.places()); n != c.voters || !l.coreReady() {
+					t.Errorf("%d voters, all stores ready: %v", n, l.coreReady())
+				}
+				if warned := l.count(event.CoreSmall) > 0; warned != (c.voters != 2*c.bear+1) {
+					t.Errorf("warned of a small core: %v", warned)
+				}
+			})
+		})
+	}
+}
+
+// TestGrownCoreBears: right after it has grown, as many machines as it is to
+// bear lose their disks, and all the others their power: nothing acknowledged
+// is lost, and the wiped ones get new places.
+func TestGrownCoreBears(t *testing.T) {
+	t.Parallel()
+	for bear := 1; bear <= 3; bear++ {
+		t.Run(fmt.Sprint("bear ", bear), func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds(3) {
+				synctest.Test(t, func(t *testing.T) {
+					l := newLab(t, seed+560, 2*bear+1, bear)
+					defer l.Stop()
+					l.up()
+					l.Until(4*time.Second, "all places are taken", func() bool { return len(l.places()) == 2*bear+1 })
+					Wait(time.Second)
+					k := l.marks(40)
+					l.Stores["founding"] = false
+					lost := l.Cores[int(seed)%3:]
+					for _, c := range l.Cores {
+						l.KillCore(c, true)
+					}
+					for _, c := range lost[:bear] {
+						c.Disk.Wipe()
+					}
+					Wait(500 * time.Millisecond)
+					for _, c := range l.Cores {
+						l.BackCore(c)
+					}
+					t.Logf("writes go through %v after the machines are back", l.next(10*time.Second).Round(time.Millisecond))
+					l.holds(k)
+					l.Until(6*time.Second, "the wiped ones have places again", func() bool { return len(l.places()) == 2*bear+1 && l.coreReady() })
+				})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/grownacts_test.go
@@ -0,0 +1,169 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"puffincrank/internal/stand/play"
+)
+
+// crowd is the factor of the load of a kind in an area.
+func (s *site) crowd(area, kind string) float64 {
+	s.smu.Lock()
+	defer s.smu.Unlock()
+	by := 1.0
+	for _, k := range [][2]string{{"", ""}, {area, ""}, {"", kind}} {
+		if x := s.crowds[k]; x > 0 {
+			by *= x
+		}
+	}
+	return by
+}
+
+// sicken makes a part of the workers ill for a while; it waits meanwhile.
+func (a act) sicken(part float64, i play.Ills, what string) {
+	all := a.some(part)
+	for _, m := range all {
+		a.say("worker of %s: %s", m.name, what)
+		m.w.Fall(i)
+		defer a.free(m)
+	}
+	Wait(a.ms(4000, 4000))
+	for _, m := range all {
+		m.w.Fall(play.Ills{})
+	}
+}
+
+// oneArea gives a look at callers that is true for those of one area only.
+func (a act) oneArea() (func(host string) bool, string) {
+	area := Areas[a.IntN(len(Areas))]
+	return func(h string) bool {
+		a.Net.mu.Lock()
+		defer a.Net.mu.Unlock()
+		return a.Net.areas[h] == area
+	}, area
+}
+
+// grownTroubles are those that the grown deployments added.
+var grownTroubles = []trouble{
+	{"crowd", none, func(a act) {
+		key := [][2]string{{}, {Areas[a.IntN(len(Areas))], ""}, {"", a.d.lines[a.IntN(len(a.d.lines))].Kind}}[a.IntN(3)]
+		by := 1.5 + 2.5*a.Float64()
+		a.say("a crowd at %q: %.1f times the load", key, by)
+		a.smu.Lock()
+		a.crowds[key] = by
+		a.smu.Unlock()
+		Wait(a.ms(2000, 3000))
+		a.smu.Lock()
+		delete(a.crowds, key)
+		a.smu.Unlock()
+	}},
+	{"grey", none, func(a act) {
+		// They fail a part of their jobs and say that they are well.
+		x := 0.25 + 0.4*a.Float64()
+		i := []play.Ills{{Fail: x}, {Shed: x}, {Tear: x}, {Hang: x / 2}, {Lose: x}, {Slow: 4 + 6*a.Float64()}}[a.IntN(6)]
+		what := fmt.Sprintf("grey %+v", i)
+		if a.IntN(3) == 0 {
+			var area string
+			i.Only, area = a.oneArea()
+			what += " for callers of " + area
+		}
+		a.sicken(0.08+0.1*a.Float64(), i, what)
+	}},
+	{"false fitness", none, func(a act) {
+		// Well for whoever asks while all fails, or ill while all is well.
+		i := []play.Ills{{Fail: 1}, {Tear: 1}, {Hang: 1}, {Sick: true}}[a.IntN(4)]
+		what := fmt.Sprintf("false fitness %+v", i)
+		if a.IntN(3) == 0 {
+			var area string
+			i.Only, area = a.oneArea()
+			what += " for callers of " + area
+		}
+		a.sicken(0.1, i, what)
+	}},
+	{"idle race", none, func(a act) {
+		rest := a.ms(150, 500)
+		a.sicken(0.4+0.2*a.Float64(), play.Ills{Forget: rest}, fmt.Sprintf("forgets connections that rested %v", rest))
+	}},
+	{"flap", none, func(a act) {
+		var over sync.WaitGroup
+		gap, end := a.ms(500, 1200), time.Now().Add(a.ms(4000, 3000))
+		for _, m := range a.some(0.08) {
+			a.say("worker of %s goes down and up each %v", m.name, gap)
+			over.Add(1)
+			a.g.Go("flap", func(context.Context) {
+				defer over.Done()
+				defer a.free(m)
+				for time.Now().Before(end) {
+					m.w.Kill()
+					Wait(gap)
+					a.startWorker(m)
+					Wait(gap)
+				}
+			})
+		}
+		over.Wait()
+	}},
+	{"gone for good", none, func(a act) {
+		// The node stays and has nobody beside it; or both are without power.
+		for range 1 + len(a.all())/16 {
+			m := a.take(a.enough)
+			if m == nil {
+				return
+			}
+			if a.IntN(2) == 0 {
+				a.say("worker of %s is lost for good", m.name)
+				m.w.Kill()
+				continue
+			}
+			a.say("%s is lost for good", m.name)
+			a.wit.Touch.Begin(m.name, "lost")
+			a.powered(m.Host, false)
+			m.w.Kill()
+			a.KillNode(m.Node)
+			m.gone.Store(true)
+			m.c.Out.Store(true)
+		}
+	}},
+	{"resets", none, func(a act) {
+		part := 0.3 + 0.5*a.Float64()
+		var hosts []string
+		for _, m := range a.some(0.1 + 0.2*a.Float64()) {
+			defer a.wit.Touch.Begin(m.name, "reset")()
+			defer a.free(m)
+			hosts = append(hosts, m.Host)
+		}
+		if a.IntN(3) == 0 {
+			hosts = append(hosts, a.cores()[a.IntN(len(a.cores()))].Host)
+			a.wit.Touch.Core("reset")
+		}
+		a.say("%.2f of the connections of %v are reset", part, hosts)
+		for _, h := range hosts {
+			a.Net.Reset(h, part)
+		}
+		Wait(100 * time.Millisecond)
+	}},
+	{"core pair", whole, func(a act) {
+		// As many core machines at once as the site bears, with or without
+		// their disks.
+		power, wiped := a.IntN(2) == 0, a.IntN(3)
+		var lost []*Core
+		for i := range a.d.bear {
+			c := a.one()
+			a.say("core %s lost with %d others (power %v, wiped %v)", c.Host, a.d.bear-1, power, i < wiped)
+			a.killCore(c, power || i < wiped)
+			if i < wiped {
+				c.Disk.Wipe()
+			}
+			lost = append(lost, c)
+		}
+		Wait(a.ms(500, 4000))
+		for _, c := range lost {
+			a.startCore(c, false)
+			Wait(a.ms(0, 800))
+		}
+		Wait(6 * time.Second)
+	}},
+}
--- /dev/null
+++ b/internal/sim/grownincident_test.go
@@ -0,0 +1,184 @@
+package sim
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// incidentSite is a site of the readers' shape with so many nodes; its smallest
+// service has few workers.
+func incidentSite(nodes int) deployment {
+	d := grownSite(2)
+	g := grownReader(2, nodes, 4)
+	g.link, g.wide, g.cores, g.bear, g.catchUp = d.link, d.wide, d.cores, d.bear, d.catchUp
+	g.ways.Hello, g.ways.Idle, g.ways.Cold, g.ways.ColdBy, g.ways.Queue = d.ways.Hello, d.ways.Idle, d.ways.Cold, d.ways.ColdBy, 16
+	return g
+}
+
+// incident plays a recorded day's troubles and checks every rule; part tells
+// what part of a kind's jobs, "" for all, was served of those begun since.
+func incident(t *testing.T, d deployment, holds func(a act, part func(kind string, since time.Time) float64)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, d, 2)
+		bad := s.day(16*time.Second, func() {
+			holds(act{s, rand.New(rand.NewPCG(2, 43)), &[]*Core{}}, func(kind string, since time.Time) float64 {
+				// What was begun just now has no answer yet.
+				served, owed := s.wit.Served(kind, since, time.Now().Add(-2*time.Second))
+				return float64(served) / float64(max(owed, 1))
+			})
+		})
+		if len(bad) > 0 {
+			t.Errorf("broken: %v", bad)
+		}
+		t.Log(s.said)
+	})
+}
+
+// TestIncidentCoreGone: right after an acknowledgement all five core machines
+// lose power and two of them their disks, the acknowledging one's among them;
+// nodes and workers live on. The version is kept, all nodes are ready with it
+// soon, and jobs feel little of it.
+func TestIncidentCoreGone(t *testing.T) {
+	heavy(t)
+	incident(t, incidentSite(14), func(a act, part func(string, time.Time) float64) {
+		Wait(4 * time.Second)
+		d := a.next()
+		a.grow(d, 1)
+		from := time.Now()
+		if !a.op.Send(a.g.Context(), d, "", "") {
+			t.Error("the document was refused")
+		}
+		writer := a.Writer()
+		other := a.cores()[0]
+		if other == writer {
+			other = a.cores()[1]
+		}
+		for _, c := range a.cores() {
+			a.killCore(c, true)
+			if c == writer || c == other {
+				c.Disk.Wipe()
+			}
+		}
+		a.say("all of the core is gone, with the disks of %s and %s", writer.Host, other.Host)
+		Wait(1400 * time.Millisecond)
+		for _, c := range a.cores() {
+			a.startCore(c, false)
+		}
+		took := a.Until(a.d.bounds.Return, "all core machines are back", a.coreReady)
+		a.Until(a.d.bounds.Change, "all nodes are ready", a.allReady)
+		Wait(4 * time.Second)
+		t.Logf("back after %v; served of what was begun since: %.3f", took, part("", from))
+		if x := part("", from); x < 0.95 {
+			t.Errorf("%.3f served through it", x)
+		}
+	})
+}
+
+// allReady tells that every node that is there is ready.
+func (s *site) allReady() bool {
+	for _, m := range s.all() {
+		if x, _ := s.now(m.Node); x == nil || !x.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// TestIncidentAllGone: half of the machines lose power with their workers; as
+// soon as they are back, a document is acknowledged and everything loses power,
+// and comes back one after the other within half a second.
+func TestIncidentAllGone(t *testing.T) {
+	heavy(t)
+	// Workers that get slower when full keep such a site full after it is back;
+	// docs/incidents/grown.md has the figures.
+	d := incidentSite(14)
+	d.ways.Crowd = 1
+	incident(t, d, func(a act, part func(string, time.Time) float64) {
+		Wait(3 * time.Second)
+		out := func(all []*machine, long time.Duration) {
+			var ends []func()
+			for _, m := range all {
+				ends = append(ends, a.wit.Touch.Begin(m.name, "without power"))
+				a.powered(m.Host, false)
+				m.w.Kill()
+				a.KillNode(m.Node)
+			}
+			Wait(long)
+			for i, m := range all {
+				a.powered(m.Host, true)
+				a.boot(m)
+				ends[i]()
+				a.startWorker(m)
+				Wait(500 * time.Millisecond / time.Duration(len(all)))
+			}
+		}
+		out(a.all()[:7], 1600*time.Millisecond)
+		Wait(4 * time.Second)
+		d := a.next()
+		a.grow(d, 1)
+		if !a.op.Send(a.g.Context(), d, "", "") {
+			t.Error("the document was refused")
+		}
+		a.wit.Closing()
+		for _, c := range a.cores() {
+			a.killCore(c, true)
+		}
+		a.g.Go("core-back", func(context.Context) {
+			Wait(1550 * time.Millisecond)
+			for _, c := range a.cores() {
+				a.startCore(c, false)
+			}
+		})
+		out(a.all(), 1550*time.Millisecond)
+		a.wit.Back()
+		took := a.Until(a.d.bounds.Return, "all nodes are ready", a.allReady)
+		Wait(8 * time.Second)
+		from := time.Now()
+		Wait(6 * time.Second)
+		t.Logf("ready %v after the last start; served after 8 s: %.3f", took, part("", from))
+		if x := part("", from); x < 0.95 {
+			t.Errorf("%.3f served after the return", x)
+		}
+	})
+}
+
+// TestIncidentFewOfAService: of a service with few workers behind thin links
+// that fill with bulky bodies, one loses power and comes back, nodes beside
+// others are stopped and started, and at last one is taken away by plan. What
+// goes to the other services alone is served all the while.
+func TestIncidentFewOfAService(t *testing.T) {
+	heavy(t)
+	incident(t, incidentSite(22), func(a act, part func(string, time.Time) float64) {
+		small := a.d.services[2]
+		of := func(m *machine) bool { return m.service == small }
+		from := time.Now()
+		Wait(2 * time.Second)
+		m := a.take(of)
+		a.say("node of %s stopped and started", m.name)
+		end := a.wit.Touch.Begin(m.name, "planned roll")
+		a.stopNode(m)
+		Wait(500 * time.Millisecond)
+		a.boot(m)
+		end()
+		a.free(m)
+		Wait(2 * time.Second)
+		m = a.take(of)
+		a.say("%s loses power", m.name)
+		a.out(m)
+		a.free(m)
+		Wait(2 * time.Second)
+		m = a.take(of)
+		a.say("%s is emptied and taken away", m.name)
+		m.w.Leave(a.g.Context())
+		a.retire(m)
+		Wait(8 * time.Second)
+		reads, all := part("read", from), part("", from)
+		t.Logf("served of reads %.3f, of all %.3f", reads, all)
+		if reads < 0.97 {
+			t.Errorf("%.3f of the reads served", reads)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/held_test.go
@@ -0,0 +1,75 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/fault"
+	"puffincrank/internal/session"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+// TestHeldHandOver: jobs that waited behind a cut on their way to the owner run
+// only if there's time left in them, counted from when they were sent, and not
+// from when they were read.
+func TestHeldHandOver(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, small(), 390)
+		defer f.Stop()
+		f.Start()
+		n := f.Nodes[0]
+		line := f.S.Lines[0]
+		for _, l := range f.S.Lines {
+			if l.Service == n.Worker.Service {
+				line = l
+			}
+		}
+		g := task.New(t.Context())
+		// Its links stand for the whole of it.
+		front := wire.NewNode(wire.Hello{Mesh: "puffin", Node: "held", Area: "north", Role: "proxy"}, f.env("held", "10.0.9.5", "north", &n.skew), g, 1<<20, 4, time.Hour)
+		class := ""
+		for _, p := range Read(f.S.Doc)["paths"].([]any) {
+			if p := p.(map[string]any); p["service"] == line.Service {
+				class, _ = p["class"].(string)
+			}
+		}
+		hand := func(i int, left time.Duration) error {
+			ctx, end := context.WithTimeout(t.Context(), left)
+			defer end()
+			b, err := wire.Ask[session.Back](ctx, front, n.Host+":7002", "job.hand", session.Hand{Job: fmt.Sprint("held", i), Attempt: fmt.Sprint("held", i, ".1"),
+				Version: 1, Service: line.Service, Class: class, Worker: n.Worker.ID, Method: line.Method, URI: line.URI, Left: 60_000})
+			if err == nil && b.Kind != session.Done {
+				t.Errorf("%+v", b)
+			}
+			return err
+		}
+		if err := hand(0, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		before := n.Worker.Ran()
+		f.Net.Cut("10.0.9.5", n.Host, true)
+		back := make(chan error, 2)
+		for i, left := range []time.Duration{time.Second, 4 * time.Second} {
+			go func() { back <- hand(i+1, left) }()
+		}
+		Wait(2 * time.Second)
+		f.Net.Cut("10.0.9.5", n.Host, false)
+		if err := <-back; !fault.Is(err, fault.Unknown) {
+			t.Errorf("the short one ended with %v", err)
+		}
+		if err := <-back; err != nil {
+			t.Errorf("the long one ended with %v", err)
+		}
+		Wait(time.Second)
+		if ran := n.Worker.Ran() - before; ran != 1 {
+			t.Errorf("%d of the two ran", ran)
+		}
+		front.Close()
+		g.Stop()
+	})
+}
--- a/internal/sim/ice.go
+++ b/internal/sim/ice.go
@@ -84,3 +84,8 @@
 
 // Freeze stops a process or lets it go on; "" names nobody.
 func (n *Net) Freeze(process string, on bool) { n.ice(process).set(on) }
+
+// Pause is how a process waits, by its name.
+func (n *Net) Pause(process string) func(context.Context, time.Duration) {
+	return n.ice(process).pause
+}
--- /dev/null
+++ b/internal/sim/logsteps_test.go
@@ -0,0 +1,103 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// longDoc has so many paths; one of them, by n, is changed.
+func longDoc(paths, n int) string {
+	var rows []string
+	for i := range paths {
+		left := 900
+		if i == n%paths {
+			left += 1 + n%50
+		}
+		rows = append(rows, fmt.Sprintf(`{"name":"path-%d","method":"GET","prefix":"/p/%d","service":"pages","class":"all","left_ms":%d}`, i, i, left))
+	}
+	return `{"services":[{"name":"pages"}],"classes":[{"name":"all","share":100}],"paths":[` + strings.Join(rows, ",") + `]}`
+}
+
+// accepted sums the bytes by which stores told each other of versions.
+func (l *lab) accepted() (n int64) {
+	for _, c := range l.Cores {
+		if c.Store == nil {
+			continue
+		}
+		for f, sum := range c.Store.Sizes() {
+			if f.Kind == "store.accept" || f.Kind == "store.ballot" {
+				n += sum.Bytes
+			}
+		}
+	}
+	return n
+}
+
+// TestLogSteps: a change of one row costs each voter the same bytes however
+// long the document is; the writer is lost, a wiped store is refilled and all
+// power goes in between, and the document that stands is still the one sent.
+func TestLogSteps(t *testing.T) {
+	t.Parallel()
+	var cost []float64
+	for _, paths := range []int{100, 200, 400, 800} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLab(t, 840, 3, 1)
+			defer l.Stop()
+			l.from = time.Now()
+			l.up()
+			version := uint64(0)
+			change := func() {
+				doc := longDoc(paths, int(version))
+				l.Until(5*time.Second, "a change is acknowledged", func() bool {
+					code, v := l.Apply(l.Cores[1].Host+":7003", version, doc)
+					if code == 200 {
+						version = v
+					}
+					return code == 200
+				})
+			}
+			change()
+			Wait(time.Second)
+			from := l.accepted()
+			for range 10 {
+				change()
+			}
+			cost = append(cost, float64(l.accepted()-from)/20)
+			l.Stores["founding"] = false
+			w := l.mark(l.Writer())
+			l.KillCore(w, true)
+			w.Disk.Wipe()
+			l.BackCore(w)
+			change()
+			l.Until(4*time.Second, "all stores are ready", func() bool { return l.settled(3) })
+			change()
+			for _, c := range l.Cores {
+				l.KillCore(c, true)
+			}
+			for _, c := range l.Cores {
+				l.BackCore(c)
+			}
+			change()
+			var want any
+			if err := json.Unmarshal([]byte(longDoc(paths, int(version)-1)), &want); err != nil {
+				t.Fatal(err)
+			}
+			code, got := l.Get(l.Cores[0].Host+":7003", "/puffin/config")
+			if code != 200 || got["version"] != float64(version) || !reflect.DeepEqual(got["document"], want) {
+				t.Errorf("%d paths: %d, version %v, not the document that was sent as %d", paths, code, got["version"], version)
+			}
+		})
+	}
+	t.Logf("bytes for each other voter and change: %.0f", cost)
+	for _, c := range cost {
+		if math.Abs(c-cost[0]) > 200 || c > 2000 {
+			t.Errorf("a change costs a voter %.0f", cost)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/number_test.go
@@ -0,0 +1,115 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// numbered gives a document under an operator's own number.
+func numbered(doc string, n int) string { return fmt.Sprintf(`{"version":%d,`, n) + doc[1:] }
+
+// TestNumbers: documents by the operator's own number. The highest holds; one
+// that is overtaken or comes again is acknowledged and changes nothing; a
+// broken one is refused whatever its number; what is read back is what was
+// sent; of two with one number the first that was committed stands.
+func TestNumbers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, small(), 510)
+		defer f.Stop()
+		f.Start()
+		doc := f.S.Doc
+		at := []string{f.Cores[0].Host + ":7003", f.Nodes[1].Host + ":7003", f.Cores[2].Host + ":7003"}
+		put := func(i int, doc string) (int, string) {
+			return f.raw("PUT", at[i], "/puffin/config?by=number", doc)
+		}
+		seven := "  " + numbered(doc, 7) + "\n "
+		for _, c := range []struct {
+			at        int
+			doc, want string
+		}{
+			{0, seven, `200 {"version":7}`}, {1, seven, `200 {"version":7}`}, {2, numbered(doc, 3), `200 {"version":7}`},
+			{1, numbered(doc, 0), "422 "}, {1, numbered(doc, -4), "422 "}, {0, doc, "422 "}, {0, "{", "400 "}, {0, `{"version":"9",` + doc[1:], "422 "},
+			{2, strings.Replace(numbered(doc, 2), `"service":"`, `"service":"no-`, 1), "422 "}, {2, strings.Replace(numbered(doc, 99), `"service":"`, `"service":"no-`, 1), "422 "},
+			{0, numbered(doc, 12) + strings.Repeat(" ", 4<<20), "413 "}, {1, numbered(doc, 5), `200 {"version":7}`},
+		} {
+			code, got := put(c.at, c.doc)
+			if got = fmt.Sprint(code, " ", got); got != c.want && !(strings.HasSuffix(c.want, " ") && strings.HasPrefix(got, c.want)) {
+				t.Errorf("%.30q at %s: %.200s, want %s", c.doc, at[c.at], got, c.want)
+			}
+		}
+		// All faults are named in one answer.
+		if _, got := put(0, strings.Replace(doc, `"service":"`, `"service":"no-`, 1)); !strings.Contains(got, `"version"`) || !strings.Contains(got, "no service") {
+			t.Error(got)
+		}
+		for i := range at {
+			if code, got := f.raw("GET", at[i], "/puffin/config?as=sent", ""); code != 200 || got != strings.TrimSpace(seven) {
+				t.Errorf("%d, sent %d bytes, read back %d", code, len(seven), len(got))
+			}
+		}
+		// It is in force at every node within the bound of a change.
+		from := time.Now()
+		put(1, numbered(doc, 20))
+		f.Until(time.Second, "all act on it", func() bool {
+			for _, n := range f.Nodes {
+				if _, got := f.Get(n.Host+":7003", "/puffin/own"); got["config_version"] != 20.0 {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("in force everywhere %v after it was sent", time.Since(from))
+		for round := range 5 {
+			var wait sync.WaitGroup
+			n := 30 + 7*round
+			docs := make([]string, len(at))
+			for i := range at {
+				docs[i] = numbered(doc, n) + strings.Repeat(" ", i+1) + "\n"
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					if code, got := put(i, docs[i]); got != fmt.Sprintf(`{"version":%d}`, n) {
+						t.Errorf("race for %d: %d %s", n, code, got)
+					}
+				}()
+			}
+			wait.Wait()
+		}
+		for i, c := range f.Cores {
+			f.KillCore(c, i != 1)
+		}
+		for _, c := range f.Cores {
+			f.BackCore(c)
+		}
+		f.serves(15 * time.Second)
+		code, got := f.raw("GET", at[2], "/puffin/config?as=sent", "")
+		if code != 200 || got != numbered(doc, 58) {
+			t.Errorf("after all were killed: %d %.40s", code, got)
+		}
+	})
+}
+
+// TestNoneSent: before the first document there is none to read back.
+func TestNoneSent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, small(), 511)
+		defer f.Stop()
+		for _, c := range f.Cores {
+			f.StartStore(c)
+			f.StartRegistry(c)
+		}
+		at := f.Cores[0].Host + ":7003"
+		f.Until(15*time.Second, "there is a writer", func() bool {
+			code, _ := f.raw("GET", at, "/puffin/config?as=sent", "")
+			return code == 404
+		})
+		if code, got := f.raw("PUT", at, "/puffin/config?by=number", numbered(f.S.Doc, 41)); code != 200 || got != `{"version":41}` {
+			t.Error(code, got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/rawbytes_test.go
@@ -0,0 +1,116 @@
+package sim
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/task"
+)
+
+// bytesTo writes bytes to a port as they are, with a pause for each W, and gives the statuses that come
+// back until the connection ends or is silent for a while.
+func (f *Fleet) bytesTo(at, text string) (codes []int) {
+	ctx, end := context.WithTimeout(context.Background(), time.Second)
+	defer end()
+	c, err := f.Net.Host("10.0.9.9").Dial(ctx, at)
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	f.g.Go("write", func(ctx context.Context) {
+		for _, part := range strings.Split(text, "W") {
+			_, _ = c.Write([]byte(part))
+			task.Pause(ctx, 300*time.Millisecond)
+		}
+	})
+	in := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		w, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return codes
+		}
+		codes = append(codes, w.StatusCode)
+		if _, err := in.Discard(int(max(w.ContentLength, 0))); err != nil || w.Close {
+			return codes
+		}
+	}
+}
+
+// TestRawBytes: requests that are framed in two ways at once, hold a request
+// of their own or are over a bound: each that is refused runs nowhere, and
+// whatever the bytes say, one request is one run.
+func TestRawBytes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := small()
+		// Workers call nothing themselves: what runs is what the bytes asked for.
+		s.Nested = nil
+		f := NewFleet(t, s, 46)
+		defer f.Stop()
+		f.Start()
+		f.Net.Place("10.0.9.9", "outside")
+		inner := "GET /pages/inner HTTP/1.1\r\nHost: a\r\n\r\n"
+		post := "POST /loans HTTP/1.1\r\nHost: a\r\n"
+		for _, c := range []struct {
+			name, text string
+			want       string // the statuses
+			runs       int64  // at all workers
+		}{
+			{"whole", post + "Content-Length: 3\r\n\r\nabc", "[200]", 1},
+			{"two lengths", post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "[400]", 0},
+			{"two lengths in one", post + "Content-Length: 3, 4\r\n\r\nabcd", "[400]", 0},
+			{"a length that is none", post + "Content-Length: +3\r\n\r\nabc", "[400]", 0},
+			{"a length below none", post + "Content-Length: -3\r\n\r\nabc", "[400]", 0},
+			{"an unknown encoding", post + "Transfer-Encoding: gzip\r\n\r\nabc", "[501]", 0},
+			{"two encodings", post + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n", "[501]", 0},
+			{"encoding twice", post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "[501]", 0},
+			{"length and chunks", post + "Content-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, "[400]", 0},
+			{"a chunk that is no number", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "[400]", 0},
+			{"a chunk with a bare line feed", post + "Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n" + inner, "[400]", 0},
+			{"a chunk longer than it says", post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n" + inner, "[400]", 0},
+			{"an endless chunk size", post + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1", 40) + "\r\n", "[400]", 0},
+			{"a blank before the colon", post + "Content-Length : 3\r\n\r\nabc", "[400]", 0},
+			{"a folded line", post + "X: a\r\n Content-Length: 3\r\n\r\nabc", "[200]", 1},
+			{"a bare line feed", "GET /pages/a HTTP/1.1\nHost: a\n\n", "[400]", 0},
+			{"a bare line feed in a header", "GET /pages/a HTTP/1.1\r\nHost: a\r\nX: a\nY: b\r\n\r\n", "[400]", 0},
+			{"a bare return in a header", "GET /pages/a HTTP/1.1\r\nHost: a\r\nX: a\rContent-Length: 3\r\n\r\n", "[400]", 0},
+			{"a nought in a header", "GET /pages/a HTTP/1.1\r\nHost: a\r\nX: a\x00b\r\n\r\n", "[400]", 0},
+			{"no host", "GET /pages/a HTTP/1.1\r\n\r\n", "[400]", 0},
+			{"two hosts", "GET /pages/a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "[400]", 0},
+			{"no version", "GET /pages/a\r\nHost: a\r\n\r\n", "[400]", 0},
+			{"a version to come", "GET /pages/a HTTP/3.7\r\nHost: a\r\n\r\n", "[505]", 0},
+			{"a large header", "GET /pages/a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 200<<10) + "\r\n\r\n", "[431]", 0},
+			{"a large request line", "GET /pages/" + strings.Repeat("x", 200<<10) + " HTTP/1.1\r\nHost: a\r\n\r\n", "[431]", 0},
+			{"many headers", "GET /pages/a HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X: y\r\n", 40<<10) + "\r\n", "[431]", 0},
+			{"a large body", post + fmt.Sprintf("Content-Length: %d\r\n\r\n", 2<<20) + strings.Repeat("x", 2<<20), "[413]", 0},
+			{"a large body in chunks", post + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" + strings.Repeat("x", 2<<20) + "\r\n0\r\n\r\n", "[413]", 0},
+			{"a body that ends early", post + "Content-Length: 30\r\n\r\nabc", "[]", 0},
+			{"a request within a body", post + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(inner)) + inner, "[200]", 1},
+			{"the same on a kept connection", inner + "W" + post + "Content-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, "[200 400]", 1},
+			{"bare line feeds on a kept connection", inner + "W" + "GET /pages/a HTTP/1.1\nHost: a\n\n", "[200 400]", 1},
+			{"the same sent together", inner + post + "Content-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner, "[200 200]", 2},
+			{"chunks on a kept connection", inner + "W" + post + "Transfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n0\r\n\r\nW" + inner, "[200 200 200]", 3},
+			{"one after the other", post + "Content-Length: 3\r\n\r\nabc" + inner, "[200 200]", 2},
+		} {
+			ran := func() (n int64) {
+				for _, n2 := range f.Nodes {
+					n += int64(n2.Worker.Ran())
+				}
+				return n
+			}
+			before := ran()
+			codes := fmt.Sprint(f.bytesTo(f.Nodes[0].Host+":8000", c.text))
+			Wait(500 * time.Millisecond)
+			if got := ran() - before; codes != c.want || got != c.runs {
+				t.Errorf("%s: %s, %d ran; want %s and %d", c.name, codes, got, c.want, c.runs)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/shortgrace_test.go
@@ -0,0 +1,78 @@
+package sim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/stand"
+)
+
+// TestShortGrace: a deployment whose grace is no longer than the time that
+// others have to see a worker leave. Every program ends in its grace, so that
+// none is killed while it holds calls.
+func TestShortGrace(t *testing.T) {
+	for _, c := range []struct{ leave, grace int }{{2000, 6000}, {4000, 4000}, {3000, 1500}} {
+		t.Run(fmt.Sprint(c.leave, " ", c.grace), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := Fumettoteca(0.1)
+				f := NewFleet(t, s, 75)
+				f.Told = map[string]any{"leave_ms": json.Number(fmt.Sprint(c.leave)), "grace_ms": json.Number(fmt.Sprint(c.grace))}
+				defer f.Stop()
+				f.Start()
+				at := f.Cores[0].Host + ":7003"
+				if code, got := f.raw("PUT", at, "/puffin/app/keys/g1.k", `{"value":"v"}`); code != 200 {
+					t.Fatal(code, got)
+				}
+				// A call that waits for longer than any grace.
+				f.g.Go("watch", func(context.Context) { f.raw("GET", at, "/puffin/app/watch/g1.?after=1&wait_ms=14000", "") })
+				Wait(100 * time.Millisecond)
+				for name, stop := range map[string]func(){"proxy": f.Nodes[0].Proxy.Stop, "registry": f.Cores[0].Registry.Stop, "store": f.Cores[1].Store.Stop} {
+					from := time.Now()
+					stop()
+					if took := time.Since(from); took > time.Duration(c.grace)*time.Millisecond {
+						t.Errorf("a %s ended after %v", name, took)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestShortGraceUnheard: a front that is stopped has jobs for longer than its
+// grace, and nobody hears its goodbyes, as in a cut. Its beat is long and its
+// grace short: it still ends by itself before it would be killed.
+func TestShortGraceUnheard(t *testing.T) {
+	for _, c := range []struct{ change, touch, grace int }{{2000, 3000, 6000}, {2000, 3000, 3500}, {6000, 5000, 3000}} {
+		t.Run(fmt.Sprint(c.change, " ", c.grace), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := Fumettoteca(0.1)
+				s.Took["scans"] = 40 * time.Second
+				s.Doc = strings.ReplaceAll(s.Doc, `"left_ms":1000`, `"left_ms":60000`)
+				f := NewFleet(t, s, 76)
+				f.Told = map[string]any{"change_ms": json.Number(fmt.Sprint(c.change)), "touch_ms": json.Number(fmt.Sprint(c.touch)), "grace_ms": json.Number(fmt.Sprint(c.grace)), "catch_up_ms": json.Number("10000")}
+				defer f.Stop()
+				f.Start()
+				n := f.Nodes[0]
+				own := stand.NewCallers(f.env("own", n.Host, n.Area, &n.skew), []string{n.Host + ":8000"}, nil, 50*time.Second)
+				for range 5 {
+					f.g.Go("call", func(context.Context) { own.At(n.Host+":8000", s.Lines[2]) })
+				}
+				Wait(500 * time.Millisecond)
+				grace := time.Duration(c.grace) * time.Millisecond
+				f.g.Go("cut", func(context.Context) { Wait(grace * 7 / 10); f.Net.Isolate(n.Host, true) })
+				from := time.Now()
+				n.Proxy.Stop()
+				if took := time.Since(from); took > grace {
+					t.Errorf("ended after %v", took)
+				}
+			})
+		})
+	}
+}
