News takes the shorter way through the tree and is asked for half a beat after its name

So a restart at 1000 nodes was known at the last one after 2.17 s at a beat of 0.7 s; the design says under one. Change: names tell the hops that they'd have (the tree's optimization in Plumtree's paper): who got a piece by three hops more exchanges one link between two ticks. What is missing is asked for half a beat after its name; what was asked for among many keeps its whole beat. An older node's names say no hops and are heard as before. Ruled out: shorter beats (bytes); the exchange alone (400 nodes: 15 hops became 12.5, the last node still 1.43 s).

--- a/internal/plumtree/bulk.go
+++ b/internal/plumtree/bulk.go
@@ -18,6 +18,8 @@
 type Bulk struct {
 	// Soon is asked to call Flush before the next tick.
 	Soon func()
+	// Late is asked to call Graft half a wait later.
+	Late func()
 	// Give bundles pieces, of each the name and, if it is at hand, the body.
 	Give func(ids []string, bodies [][]byte) []byte
 	// Take takes in a bundle, and gives what of it was news.
@@ -78,6 +80,7 @@
 			}
 			m.IDs = append(m.IDs, id)
 		}
+		m.Round = t.hops(ids)
 		// Those who go through two lists of one order ask for the same.
 		slices.Sort(m.IDs)
 		if len(m.IDs) > 0 {
@@ -120,7 +123,7 @@
 		// What the host can make anew it knows: it need not stand here too, once
 		// for each of many thousands.
 		if p.Body != nil {
-			t.had[p.ID] = kept{p.Body, 0, now}
+			t.had[p.ID] = kept{body: p.Body, at: now, loose: true}
 		}
 		delete(t.gap, p.ID)
 		t.later(p.ID, m.From)
--- a/internal/plumtree/plumtree.go
+++ b/internal/plumtree/plumtree.go
@@ -12,7 +12,7 @@
 	Kind  string   `msgpack:"k"` // gossip, ihave, graft, prune, pull, many
 	From  string   `msgpack:"f"` // inner address of the sender
 	ID    string   `msgpack:"i,omitempty"`
-	Round int      `msgpack:"r,omitempty"`
+	Round int      `msgpack:"r,omitempty"` // hops from the source; of names: that they'd have with one more, at the most, 0 when not known
 	IDs   []string `msgpack:"l,omitempty"`
 	Body  []byte   `msgpack:"b,omitempty"`
 	Now   bool     `msgpack:"n,omitempty"` // of names: nothing comes whole, so what is missing is asked for at once
@@ -22,12 +22,16 @@
 	body  []byte
 	round int
 	at    time.Time
+	from  string // the link that it came by, empty for one's own
+	loose bool   // it came among many, round says nothing
 }
 
 // missing is news heard of but not had yet.
 type missing struct {
 	since time.Time
 	from  []string
+	near  Message // the name that told of the fewest hops
+	asked bool    // among many, which may take a while to come
 }
 
 // Tree is one node's part of the tree. It starts no goroutine: Send hands a
@@ -45,13 +49,15 @@
 	send  func(to string, m Message)
 	got   func(body []byte) bool
 	knows func(id string) bool
-	Count struct{ Eager, Double, Graft, Prune int64 }
+	Count struct{ Eager, Double, Graft, Prune, Short int64 }
 	deep  int // the most hops that news took to get here
 	bulk  Bulk
 	most  int  // pieces held at once
 	fresh int  // pieces since the last tick
 	busy  bool // there were too many of them to go whole
 	due   bool // a flush is on its way
+	moved bool // a link was exchanged for a shorter way since the last tick
+	late  bool // grafts are on their way
 }
 
 // New makes a tree. Wait is how long news may be missing before it is grafted,
@@ -83,7 +89,7 @@
 		return
 	}
 	delete(t.gap, id)
-	t.had[id] = kept{body, 0, time.Now()}
+	t.had[id] = kept{body: body, at: time.Now()}
 	all := t.spread(id, body, 0, "")
 	t.mu.Unlock()
 	t.flush(all)
@@ -144,10 +150,13 @@
 			}
 			break
 		}
-		t.had[m.ID] = kept{m.Body, m.Round, time.Now()}
+		t.had[m.ID] = kept{body: m.Body, round: m.Round, at: time.Now(), from: m.From}
 		t.deep = max(t.deep, m.Round)
-		delete(t.gap, m.ID)
 		t.warm(m.From)
+		if g := t.gap[m.ID]; g != nil {
+			all = t.shorten(t.had[m.ID], g.near)
+			delete(t.gap, m.ID)
+		}
 		news = true
 	case "ihave":
 		pull := Message{Kind: "pull", From: t.self}
@@ -155,7 +164,11 @@
 			id = long(id)
 			// Who has it need not hear of it.
 			delete(t.names[m.From], id)
-			if _, ok := t.had[id]; ok || t.knows(id) {
+			if k, ok := t.had[id]; ok {
+				all = append(all, t.shorten(k, m)...)
+				continue
+			}
+			if t.knows(id) {
 				continue
 			}
 			g := t.gap[id]
@@ -163,10 +176,14 @@
 				g = &missing{since: time.Now()}
 				t.gap[id] = g
 				if m.Now && t.bulk.Take != nil {
-					pull.IDs = append(pull.IDs, short(id))
+					pull.IDs, g.asked = append(pull.IDs, short(id)), true
 				}
 			}
 			g.from = append(g.from, m.From)
+			t.lag()
+			if m.Round > 0 && (g.near.Round == 0 || m.Round < g.near.Round) {
+				g.near = Message{From: m.From, Round: m.Round}
+			}
 		}
 		if len(pull.IDs) > 0 {
 			all = append(all, out{m.From, pull})
@@ -197,7 +214,7 @@
 		fresh := t.got(m.Body)
 		t.mu.Lock()
 		if fresh {
-			all = t.spread(m.ID, m.Body, m.Round, m.From)
+			all = append(all, t.spread(m.ID, m.Body, m.Round, m.From)...)
 		} else {
 			t.name(m.ID, m.From)
 		}
--- a/internal/plumtree/tick.go
+++ b/internal/plumtree/tick.go
@@ -8,6 +8,7 @@
 	var all []out
 	now := time.Now()
 	t.mu.Lock()
+	t.moved = false
 	all = t.called()
 	// It is over when no more came than go whole. Pieces of many sources at once
 	// prune each other's links, up to the last: the tree grows anew.
@@ -17,25 +18,7 @@
 			t.warm(a)
 		}
 	}
-	ask := map[string][]string{}
-	for id, g := range t.gap {
-		if now.Sub(g.since) < t.wait {
-			continue
-		}
-		// Each wait the next one that named it is asked; with none left,
-		// repair finds it.
-		if len(g.from) == 0 {
-			delete(t.gap, id)
-			continue
-		}
-		ask[g.from[0]] = append(ask[g.from[0]], id)
-		g.from, g.since = g.from[1:], now
-	}
-	for a, ids := range ask {
-		t.warm(a)
-		t.Count.Graft++
-		all = append(all, out{a, Message{Kind: "graft", From: t.self, IDs: ids}})
-	}
+	all = append(all, t.grafts(now)...)
 	for id, k := range t.had {
 		if now.Sub(k.at) > t.keep {
 			delete(t.had, id)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -59,7 +59,7 @@
 	r := &Replica{self: self, n: n, g: g, log: log, clock: clock, m: ormap.New(), dot: self.Node + "#" + self.Start, beat: beat, bury: bury, index: map[string][]ormap.Entry{}, peers: &member.Book{}}
 	r.pace = newPace(self.Role, n.Most, beat)
 	r.tree = plumtree.New(self.Inner, beat, 50*beat, r.send, r.hear, r.knows)
-	r.tree.Carry(plumtree.Bulk{Soon: r.soon, Give: r.give, Take: r.got, Find: r.find})
+	r.tree.Carry(plumtree.Bulk{Soon: r.soon, Late: r.late, Give: r.give, Take: r.got, Find: r.find})
 	wire.On(n, "gossip", func(_ context.Context, _ wire.Hello, m plumtree.Message) (struct{}, error) {
 		r.tree.Take(m)
 		return struct{}{}, nil
--- a/internal/replica/spread.go
+++ b/internal/replica/spread.go
@@ -74,6 +74,14 @@
 	})
 }
 
+// late has the tree ask for what is missing before its next tick.
+func (r *Replica) late() {
+	r.g.Go("gossip-late", func(ctx context.Context) {
+		task.Pause(ctx, r.beat/2)
+		r.tree.Graft()
+	})
+}
+
 // give bundles pieces for a fellow that named them.
 func (r *Replica) give(ids []string, bodies [][]byte) []byte {
 	var all ormap.Delta
