A confirmation counts for eight tenths of the bound on changes, not six

Why it is safe: a job goes by what was the newest at most 1.6 s before it was read, the bound is 2 s, and a freeze of more than a quarter of it asks anew as before.

--- a/internal/props/parts.go
+++ b/internal/props/parts.go
@@ -43,8 +43,11 @@
 // Patience is how long one inner call may take.
 func (p Props) Patience() time.Duration { return p.Pace() / 4 }
 
-// Fresh is how old a confirmed configuration may be before a node asks anew.
-func (p Props) Fresh() time.Duration { return p.Pace() * 6 / 10 }
+// Fresh is how old a confirmed configuration may be before a node asks anew. It
+// outlasts a beat's pause, a call that nobody answers and the round that finds
+// the whole core gone, counted from a receipt that is a beat old; what is left of
+// the bound is for the job's way.
+func (p Props) Fresh() time.Duration { return p.Pace() * 8 / 10 }
 
 // Gap is a pause in the ticks that counts as having been frozen.
 func (p Props) Gap() time.Duration { return p.Pace() / 4 }
