A doubt about a worker ends after a window and a half

A front's doubt about a worker that no repeatable job looks at fades by halves, with a window as its measure once it fell again; where the others cost next to nothing what is left of it still wins. The comment promised a window at the most.

--- a/internal/nominate/nominate.go
+++ b/internal/nominate/nominate.go
@@ -105,12 +105,14 @@
 
 // faint is what is left of a doubt about a worker that nothing was heard of
 // for a while. Who fell often of late is doubted for longer, though for a window
-// at the most: from then on others should have shown that it is ill.
+// and a half at the most: from then on others should have shown that it is ill.
+// Without that end a doubt that halves by and by keeps jobs away for three windows.
 func (n *Nominator) faint(m *mate, now time.Time) float64 {
 	if m.seen.IsZero() || n.window <= 0 {
 		return 1
 	}
-	return math.Exp(-float64(now.Sub(m.seen)) / float64(min(n.window/2<<m.falls, n.window)))
+	age := float64(now.Sub(m.seen)) / float64(n.window)
+	return math.Exp(-age/min(0.5*float64(int(1)<<m.falls), 1)) * max(1-age/1.5, 0)
 }
 
 // weight is a worker's fitness from 0.01 to 1, against its peers. A job that
