--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -174,7 +174,7 @@
 	for _, n := range []string{"proxy", "registry", "store"} {
 		fmt.Fprintf(&b, "## %s\n\n%s\n", n, props.Tables[n].Doc())
 	}
-	b.WriteString("All other times are ratios to these bounds. The pace is `change_ms`, or less if that is more than four thirds of\n`touch_ms`, two fifths of `return_ms` or five eighths of `catch_up_ms`: a beat is a tenth of it, a lease half of it, a\nconfirmation counts for six tenths of it. A worker is down after five eighths of `leave_ms`, or of `return_ms` if that\nis less, without a beat (with `beat_ms` given, after two and a half beats and an eighth of the pace, or as little as one\nand a half where `return_ms` is short), tombstones are kept six times `retire_ms`. At the start the parts are checked\nto add up to less than their bound.\n")
+	b.WriteString("All other times are ratios to these bounds. The pace is `change_ms`, or less if that is more than four thirds of\n`touch_ms`, two fifths of `return_ms` or five eighths of `catch_up_ms`: a beat is a tenth of it, a lease half of it, a\nconfirmation counts for eight tenths of it. A worker is down after five eighths of `leave_ms`, or of `return_ms` if that\nis less, without a beat (with `beat_ms` given, after two and a half beats and an eighth of the pace, or as little as one\nand a half where `return_ms` is short), tombstones are kept six times `retire_ms`. At the start the parts are checked\nto add up to less than their bound.\n")
 	page(t, "props.md", b.String())
 }
 
