Who named a piece is not sent it, which undid the exchange of links

Where a name came before its piece, the node exchanged its link for the one that named it and then sent the piece on over all eager links, that one too; its fellow got it twice and pruned the link just made, so the node stood with neither until the next gap. Ruled out: the order of the messages (the graft goes first, the double undoes it all the same). Before: TestDetourNamed fails ("gossip to near" after the graft). After: who named a piece is left out of all sends of it; what is asked for among many no longer starts a look half a beat later.

--- a/internal/plumtree/bulk.go
+++ b/internal/plumtree/bulk.go
@@ -46,8 +46,8 @@
 
 // later has a piece wait for the next flush as a name; mu is held, and
 // Soon must not come back into the tree.
-func (t *Tree) later(id, but string) {
-	t.name(id, but)
+func (t *Tree) later(id string, but ...string) {
+	t.name(id, but...)
 	t.busy = true
 	t.hurry()
 }
--- a/internal/plumtree/links.go
+++ b/internal/plumtree/links.go
@@ -1,5 +1,7 @@
 package plumtree
 
+import "slices"
+
 // Links sets the overlay neighbours. A new one starts eager.
 func (t *Tree) Links(all []string) {
 	t.mu.Lock()
@@ -45,10 +47,10 @@
 }
 
 // name lets the neighbours know of a piece by its name, at the next tick.
-func (t *Tree) name(id, but string) {
+func (t *Tree) name(id string, but ...string) {
 	for _, set := range []map[string]bool{t.eager, t.lazy} {
 		for a := range set {
-			if a != but {
+			if !slices.Contains(but, a) {
 				t.call(a, id)
 			}
 		}
@@ -58,7 +60,7 @@
 // Name lets the neighbours know of a piece that was cast before there were any.
 func (t *Tree) Name(id string) {
 	t.mu.Lock()
-	t.name(id, "")
+	t.name(id)
 	t.hurry()
 	t.mu.Unlock()
 }
--- a/internal/plumtree/plumtree.go
+++ b/internal/plumtree/plumtree.go
@@ -3,6 +3,7 @@
 package plumtree
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,9 +30,10 @@
 // missing is news heard of but not had yet.
 type missing struct {
 	since time.Time
-	from  []string
-	near  Message // the name that told of the fewest hops
-	asked bool    // among many, which may take a while to come
+	from  []string // whom to ask, in turn
+	named []string // all who named it
+	near  Message  // the name that told of the fewest hops
+	asked bool     // among many, which may take a while to come
 }
 
 // Tree is one node's part of the tree. It starts no goroutine: Send hands a
@@ -90,25 +92,26 @@
 	}
 	delete(t.gap, id)
 	t.had[id] = kept{body: body, at: time.Now()}
-	all := t.spread(id, body, 0, "")
+	all := t.spread(id, body, 0)
 	t.mu.Unlock()
 	t.flush(all)
 }
 
-func (t *Tree) spread(id string, body []byte, round int, but string) []out {
+// spread sends a piece on to all but those that have it.
+func (t *Tree) spread(id string, body []byte, round int, but ...string) []out {
 	var all []out
 	if t.crowd() {
-		t.later(id, but)
+		t.later(id, but...)
 		return nil
 	}
 	for a := range t.eager {
-		if a != but {
+		if !slices.Contains(but, a) {
 			all = append(all, out{a, Message{Kind: "gossip", From: t.self, ID: id, Round: round + 1, Body: body}})
 			t.Count.Eager++
 		}
 	}
 	for a := range t.lazy {
-		if a != but {
+		if !slices.Contains(but, a) {
 			t.call(a, id)
 			t.hurry()
 		}
@@ -127,6 +130,7 @@
 // Take handles one message.
 func (t *Tree) Take(m Message) {
 	var all []out
+	var have []string // those known to have what came
 	news := false
 	switch m.Kind {
 	case "pull":
@@ -155,8 +159,10 @@
 		t.warm(m.From)
 		if g := t.gap[m.ID]; g != nil {
 			all = t.shorten(t.had[m.ID], g.near)
+			have = g.named
 			delete(t.gap, m.ID)
 		}
+		have = append(have, m.From)
 		news = true
 	case "ihave":
 		pull := Message{Kind: "pull", From: t.self}
@@ -179,8 +185,10 @@
 					pull.IDs, g.asked = append(pull.IDs, short(id)), true
 				}
 			}
-			g.from = append(g.from, m.From)
-			t.lag()
+			g.from, g.named = append(g.from, m.From), append(g.named, m.From)
+			if !g.asked {
+				t.lag()
+			}
 			if m.Round > 0 && (g.near.Round == 0 || m.Round < g.near.Round) {
 				g.near = Message{From: m.From, Round: m.Round}
 			}
@@ -214,9 +222,9 @@
 		fresh := t.got(m.Body)
 		t.mu.Lock()
 		if fresh {
-			all = append(all, t.spread(m.ID, m.Body, m.Round, m.From)...)
+			all = append(all, t.spread(m.ID, m.Body, m.Round, have...)...)
 		} else {
-			t.name(m.ID, m.From)
+			t.name(m.ID, have...)
 		}
 		t.mu.Unlock()
 	}
--- a/internal/plumtree/short.go
+++ b/internal/plumtree/short.go
@@ -5,9 +5,8 @@
 // a smaller figure would have links change for every source of news.
 const detour = 3
 
-// hops is how many hops all of the names would have for who gets them by this
-// node, plus nothing: one more than here. It is 0 when one of them isn't known.
-// mu is held.
+// hops is how many hops the pieces of these names have at the most for who gets
+// them by this node, one more than here; 0 when that of one isn't known. mu is held.
 func (t *Tree) hops(ids map[string]bool) int {
 	if t.busy {
 		return 0
--- a/internal/plumtree/short_test.go
+++ b/internal/plumtree/short_test.go
@@ -83,3 +83,43 @@
 		t.Errorf("%d hops of %d, %.1f sends of %.1f, %d late", now, was, price, cost, late)
 	}
 }
+
+// TestDetourNamed: a name that comes before its piece counts as well, and who
+// named the piece isn't sent it, which would undo the exchange.
+func TestDetourNamed(t *testing.T) {
+	var sent []out
+	x := New("me", time.Second, time.Minute, func(to string, m Message) { sent = append(sent, out{to, m}) },
+		func([]byte) bool { return true }, func(string) bool { return false })
+	x.Links([]string{"far", "near", "child"})
+	x.Take(Message{Kind: "prune", From: "near"})
+	for _, c := range []struct {
+		id           string
+		named, round int
+		want         string
+	}{
+		// An older node names without hops; two hops more are borne.
+		{"a", 0, 9, "gossip to child"}, {"b", 4, 6, "gossip to child"},
+		{"c", 4, 7, "graft to near, prune to far, gossip to child"},
+	} {
+		sent = nil
+		x.Take(Message{Kind: "ihave", From: "near", IDs: []string{c.id}, Round: c.named})
+		x.Take(Message{Kind: "gossip", From: "far", ID: c.id, Round: c.round, Body: []byte(c.id)})
+		got := ""
+		for i, o := range sent {
+			if i > 0 {
+				got += ", "
+			}
+			got += o.m.Kind + " to " + o.to
+		}
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", c.id, got, c.want)
+		}
+	}
+	// One link only is exchanged between two ticks.
+	sent = nil
+	x.Take(Message{Kind: "ihave", From: "far", IDs: []string{"d"}, Round: 1})
+	x.Take(Message{Kind: "gossip", From: "near", ID: "d", Round: 9, Body: []byte("d")})
+	if len(sent) != 1 || sent[0].to != "child" {
+		t.Errorf("%v", sent)
+	}
+}
