DRAIN is at risk where a worker has traffic until it leaves, however quick the mesh is

Change: jobs of the bound before the word count too: they'd go on beyond it if nobody were told, which is what the rule loses. A worker without traffic counts as little as before. The rule itself is untouched. Before: a mesh that tells faster fails the check.

--- a/internal/stand/witness/risk.go
+++ b/internal/stand/witness/risk.go
@@ -24,8 +24,10 @@
 		if v.Ran() && v.To != "" {
 			out[Unasked]++
 		}
-		// While a worker leaves, all that is still sent to it comes late soon.
-		if k := v.Worker; !k.Asked.IsZero() && v.At.After(k.Asked) {
+		// What goes to a worker that is about to leave, or leaves, would go on
+		// doing so after the bound if nobody were told. How many come after its
+		// word hangs on how quick the mesh is, and may be none.
+		if k := v.Worker; !k.Asked.IsZero() && v.At.After(k.Asked.Add(-w.B.Leave)) {
 			out[Drain]++
 		}
 	}
