Two mutants and a property for what changed: how long a word counts, and what was missed

Cause: the ratio of a confirmation and the taking back of first sends had no breakage that a test must catch. Before: neither was tried. After: `mutants missed-still-counts confirmed-too-long`: both caught (TestMissed, TestFresh over drawn bounds). The other mutants were not run again. Conclusion: kept.

--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -28,9 +28,11 @@
 	{"front-not-confirmed", Newest, "internal/touch/round.go", "\tif w := t.Word(); w != session.Unsure {\n\t\treturn w\n\t}\n\tctx, over", "\treturn session.Sure\n\tctx, over", "sim", "TestFrozenFront"},
 	{"step-back", Newest, "internal/proxy/start.go", "		if old != nil && old.Version >= version {", "		if old != nil && old.Version == version {", "proxy", "TestNeverBack"},
 	{"late-is-cut", Newest, "internal/touch/round.go", "	return \"\", t.verdict(began, outs, <-rung || quick), began", "	return \"\", max(session.Lost, session.Word(-outs)), began", "sim", "TestChokedLine"},
+	{"confirmed-too-long", Newest, "internal/props/parts.go", "p.Pace() * 8 / 10 }", "p.Pace() * 13 / 10 }", "props", "TestFresh"},
 	{"frozen-round", Newest, "internal/touch/round.go", "t.lost && t.out.After(woke) &&", "t.lost && (woke.IsZero() || !woke.IsZero()) &&", "touch", "TestFrozenRound"},
 
 	{"repeats-not-asked", Repeats, "internal/proxy/steps.go", "	if j.came > 0 && !x.again.Again(j.service) {", "	if j.came > 0 && !x.again.Again(j.service) && j.sends > 5 {", "sim", "TestStorms"},
+	{"missed-still-counts", Repeats, "internal/repeats/repeats.go", "	b.at(service, now).first.add(now, part-1)\n", "	b.at(service, now).first.add(now, 0)\n", "repeats", "TestMissed"},
 	{"part-of-others", Repeats, "internal/repeats/repeats.go", "		part = b.allow / float64(b.nodes)", "		part = b.allow", "repeats", "."},
 	{"repeat-not-counted", Repeats, "internal/repeats/repeats.go", "	r.second.add(now, 1)\n", "	r.first.add(now, 1)\n", "repeats", "."},
 	{"calls-not-held", Repeats, "internal/repeats/repeats.go", "		b.rows[s].held += n\n", "		b.rows[s].held += 0 * n\n", "repeats", "TestHold"},
