Links that take turns keep calm windows, and shorter lines of bulk are let in

They were let in by a speed that halved after it: a link that waits for its turn rests for longer than four patiences, then doubled its window anew, and took from those that went. The median speed of a node was 55 kB/s, with 25 to 93 at 5 and 95 of 100.

Ruled out: the order of turns (oldest first, as meant), the first bulk after a rest (losses came at any second), the answer's own booking.

A window doubles again when no delay was met for sixteen patiences, whether it rested or not; what waits before a body may take two thirds of the half of its time left.

TestRested and TestHope hold it.

--- a/internal/wire/book.go
+++ b/internal/wire/book.go
@@ -29,6 +29,14 @@
 // rest is for what it is sent for.
 func patient(left time.Duration) time.Duration { return left / 2 }
 
+// timely tells whether bulk of a size would be through in a time, by the speed of
+// now. What waits before it may take two thirds of that: speeds vary by half from
+// second to second where links share a way, and a shorter line keeps it as full.
+// The link's lock is held.
+func (l *link) timely(size int, most time.Duration) bool {
+	return l.hope(size) <= most && l.hope(0) <= most*2/3
+}
+
 // late tells that a bulk call would not be through in time. The link's lock is
 // held.
 func (l *link) late(i *item) bool {
@@ -39,7 +47,7 @@
 	if i.soon > 0 {
 		most = min(most, i.soon)
 	}
-	return l.hope(i.cost()) > most
+	return !l.timely(i.cost(), most)
 }
 
 // stuffed is the error of a call without room. The link's lock is held.
@@ -151,7 +159,7 @@
 	// Answers that wait are bounded in bytes like calls that do.
 	ok = waits == 0 || waits+size <= l.n.Most/4
 	if end, set := ctx.Deadline(); set {
-		ok = ok && l.hope(size) <= patient(time.Until(end))-run
+		ok = ok && l.timely(size, patient(time.Until(end))-run)
 	}
 	if !ok {
 		return free, l.come(), false
--- a/internal/wire/flow.go
+++ b/internal/wire/flow.go
@@ -17,6 +17,7 @@
 	often  = 4  // marks to a window
 	smooth = 16 // a speed is smoothed over so many measurements
 	stale  = 4  // after so many patiences at rest a speed and a window say nothing any more
+	lull   = 16 // after so many patiences without a delay a window doubles again
 )
 
 // flow bounds the bulk that is under way on a link, so that it waits here,
@@ -27,7 +28,7 @@
 type flow struct {
 	on     bool
 	win    int                  // bytes that may be under way
-	calm   bool                 // there was a delay: it doesn't double any more
+	met    time.Duration        // when there was a delay last, 0: never
 	let    bool                 // it has the turn among the links to its area
 	asks   bool                 // it waits for the turn
 	rest   bool                 // a pause, so that less than a step is under way on average
@@ -79,7 +80,6 @@
 func (w *flow) wake(now, patience time.Duration) {
 	if len(w.marks) == 0 && now-w.gauge.seen > stale*patience {
 		w.win, w.turn = min(w.win, start), 0
-		w.calm = false
 		// The last bytes had no mark behind them; they are long there.
 		w.out, w.bare = 0, 0
 	}
@@ -127,7 +127,14 @@
 	over = slices.Min(w.last[:min(w.turn, often)])
 	w.out -= m.size
 	w.gauge.note(now, took, took, m.size, more)
-	w.turns(float64(over)/float64(patience/ease), float64(since)/float64(patience/ease), min(m.size, w.win), more)
+	late := float64(over) / float64(patience/ease)
+	if late > 0.5 {
+		w.met = now
+	}
+	// Not sooner, though the link rested: those that wait for their turns would
+	// each double, and take from the ones that go what they were let in by.
+	calm := w.met > 0 && now-w.met < lull*patience
+	w.turns(late, float64(since)/float64(patience/ease), min(m.size, w.win), more, calm)
 	if !more || w.win >= m.size {
 		return 0
 	}
@@ -137,17 +144,14 @@
 // turns sets the window anew after some bytes of it, by the delay as a ratio to
 // what is put up with, and by the time since the last bytes, in the same. It
 // grows by that time and shrinks by parts, so that links which share a thin one
-// come to equal windows; until there is a delay for the first time it doubles.
-func (w *flow) turns(late, since float64, size int, more bool) {
-	if late > 0.5 {
-		w.calm = true
-	}
+// come to equal windows; calm is whether there was a delay lately, else it doubles.
+func (w *flow) turns(late, since float64, size int, more, calm bool) {
 	switch {
 	case late > 1:
 		w.win -= int(float64(size) * min(late-1, 1) / 2)
 	case !more:
 		// Without need it says nothing that there is no delay.
-	case w.calm:
+	case calm:
 		w.win += int(math.Ceil((1 - late) * grow * since))
 	default:
 		w.win += size
--- a/internal/wire/flow_test.go
+++ b/internal/wire/flow_test.go
@@ -100,3 +100,42 @@
 		}
 	}
 }
+
+// TestRested: a link that met a delay a moment ago doesn't double its window
+// after a rest, or those that wait for their turns would each take from the ones
+// that go. Without a delay for long it does again.
+func TestRested(t *testing.T) {
+	const patience = 500 * time.Millisecond
+	for _, c := range []struct {
+		rest    time.Duration
+		doubles bool
+	}{{stale * patience * 3 / 2, false}, {lull * patience, true}} {
+		w := flow{on: true, let: true, win: start}
+		now, id := time.Second, uint64(0)
+		round := func(took time.Duration) {
+			for w.open() && !w.due() {
+				w.went(w.cut(piece))
+			}
+			id++
+			w.sent(id, now)
+			now += took
+			if !w.passed(id) {
+				t.Fatal("the mark isn't known")
+			}
+			w.acked(now, 0, patience, true)
+		}
+		round(time.Millisecond)
+		for range often {
+			round(patience / ease)
+		}
+		now += c.rest
+		w.wake(now, patience)
+		from := w.win
+		for range often + 1 {
+			round(time.Millisecond)
+		}
+		if got := w.win >= from*2; got != c.doubles {
+			t.Errorf("after a rest of %v the window went from %d to %d", c.rest, from, w.win)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/hope_test.go
@@ -0,0 +1,26 @@
+package wire
+
+import (
+	"testing"
+	"time"
+)
+
+// TestHope: bulk is let in as long as what waits before it takes no more than a
+// third of its time left, and it would be through in a half. One that needs a
+// half by itself is let in where nothing waits, else it would never be.
+func TestHope(t *testing.T) {
+	const speed = 100_000
+	for _, c := range []struct {
+		waits, size int
+		in          bool
+	}{{0, 290_000, true}, {0, 310_000, false}, {190_000, 90_000, true}, {210_000, 10_000, false}, {190_000, 120_000, false}} {
+		l := &link{n: &Node{born: time.Now(), Patience: time.Second}, track: &track{}}
+		l.q.flow.on = true
+		l.q.flow.gauge = gauge{speed: speed, seen: l.n.now()}
+		l.q.flow.booked = c.waits
+		i := &item{head: head{lane: Bulk, left: 6000}, body: &room{b: make([]byte, c.size)}}
+		if got := !l.late(i); got != c.in {
+			t.Errorf("%d bytes behind %d at %d bytes a second with 6 s left: let in is %v", c.size, c.waits, speed, got)
+		}
+	}
+}
