Voters move until the loss of an area or region leaves a majority; bear up to 100

Cause: the deployment's zones and regions that may be lost were read by nobody. A core founded by three seeds of one area kept them as voters for good, whatever stood by in other areas; that area's loss ended all writing.

A stand-by takes the place of a member if fewer votes would then be lost with an area or region, one at a time, while all are in touch. TestCoreBearsAreas: without it five of six layouts never come to bear a loss or fail by the first; with it all do, 1.7 to 2.0 s after the first writer, and nothing acknowledged is gone by power, disks, or both with all others' power.

Where no area or region is to be borne nothing moves.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -27,7 +27,7 @@
 	Replaced      = Kind{310, "replaced", "a store took the place of another", false}
 	Foreign       = Kind{311, "foreign", "data of another mesh or a newer version was refused", true}
 	Unsafe        = Kind{312, "unsafe-removal", "a removal that would leave the core without a majority was refused", true}
-	CoreSmall     = Kind{313, "core-small", "fewer stores vote than wanted, or an even number: the core bears the loss of fewer", true}
+	CoreSmall     = Kind{313, "core-small", "fewer stores vote than wanted, an even number, or too many in one area or region: the core bears the loss of fewer", true}
 	Won           = Kind{401, "duty-won", "this node won a duty", false}
 	Lost          = Kind{402, "duty-lost", "this node lost or gave up a duty", true}
 	SessionUp     = Kind{403, "session-up", "a session with a control node stands", false}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -17,6 +17,7 @@
 	ID   string `msgpack:"i" json:"id"`
 	Addr string `msgpack:"a" json:"addr"`
 	Area string `msgpack:"z,omitempty" json:"area,omitempty"`
+	Land string `msgpack:"l,omitempty" json:"region,omitempty"` // the region of the area
 }
 
 // Config is one version of the configuration and why it stands.
--- a/internal/props/changed.go
+++ b/internal/props/changed.go
@@ -9,6 +9,7 @@
 		"return_ms": p.Return, "history_ms": p.History, "retire_ms": p.Retire, "replace_ms": p.Replace, "grace_ms": p.Grace,
 		"catch_up_ms": p.CatchUp, "touch_ms": p.Touch, "ack_ms": p.Ack, "back_ms": p.Back, "free_ms": p.Free, "silence_ms": p.Silence,
 		"beat_ms": p.Told, "body_bytes": p.Body, "frame_bytes": p.Frame, "jobs": p.Jobs, "founding": p.Founding, "bear": p.Bear,
+		"bear_areas": p.BearAreas, "bear_regions": p.BearRegions, "region": p.Region,
 		"memory_bytes": p.Memory, "files": p.Files, "service": p.Service, "worker_addr": p.Worker, "ready": p.Ready,
 		"repeat_share": p.RepeatShare, "repeat_allowance": p.RepeatAllowance}
 }
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -31,6 +31,8 @@
 	Body, Frame, Jobs      int
 	Founding               bool
 	Bear                   int    // machines with a disk that may be lost at once
+	BearAreas, BearRegions int    // areas, or regions, that may be lost at once
+	Region                 string // of the area, if told
 	Memory, Files          int    // bytes and descriptors of this process; 0 when not told
 	Service, Worker        string // the service and address of the worker beside this node, if told
 	Ready                  string // a further address where readiness is told
@@ -38,8 +40,9 @@
 	RepeatAllowance        int
 }
 
-// Voters is how many stores must agree so that any Bear of them may be lost.
-func (p Props) Voters() int { return 2*p.Bear + 1 }
+// Voters is how many stores must agree so that any Bear of them may be lost, or
+// as many areas or regions, if each holds one.
+func (p Props) Voters() int { return 2*max(p.Bear, p.BearAreas, p.BearRegions) + 1 }
 
 // Make turns checked values into props and checks that the parts add up.
 func Make(v settings.Values) (Props, []settings.Fault) {
@@ -50,7 +53,7 @@
 		Retire: ms("retire_ms"), Replace: ms("replace_ms"), Grace: ms("grace_ms"),
 		CatchUp: ms("catch_up_ms"), Touch: ms("touch_ms"), Ack: ms("ack_ms"), Back: ms("back_ms"), Free: ms("free_ms"), Silence: ms("silence_ms"), Told: ms("beat_ms"),
 		Body: int(v.Count("body_bytes")), Frame: int(v.Count("frame_bytes")), Jobs: int(v.Count("jobs")),
-		Founding: v.Flag("founding"), Bear: int(v.Count("bear")), Memory: int(v.Count("memory_bytes")), Files: int(v.Count("files")),
+		Founding: v.Flag("founding"), Bear: int(v.Count("bear")), BearAreas: int(v.Count("bear_areas")), BearRegions: int(v.Count("bear_regions")), Region: v.Text("region"), Memory: int(v.Count("memory_bytes")), Files: int(v.Count("files")),
 		Service: v.Text("service"), Worker: v.Text("worker_addr"), Ready: v.Text("ready"),
 		RepeatShare: v.Share("repeat_share"), RepeatAllowance: int(v.Count("repeat_allowance"))}
 	p.derive()
--- a/internal/props/rows.go
+++ b/internal/props/rows.go
@@ -87,5 +87,8 @@
 		settings.Setting{Name: "seeds", Type: settings.Addrs, Must: true, Check: some, Rule: "1 to 9 addresses", Help: "inner addresses of stores; at the founding all of them are empty"},
 		settings.Setting{Name: "data", Type: settings.Text, Must: true, Rule: "a folder", Help: "the data folder"},
 		settings.Setting{Name: "founding", Type: settings.Flag, Def: true, Rule: "true or false", Help: "whether an empty store may found a mesh; without it, it only joins one"},
-		settings.Setting{Name: "bear", Type: settings.Count, Def: int64(1), Check: settings.In(0, 4), Rule: "0 to 4", Help: "stores that may be lost at once; twice as many and one vote"})},
+		settings.Setting{Name: "bear", Type: settings.Count, Def: int64(1), Check: settings.In(0, 100), Rule: "0 to 100", Help: "stores that may be lost at once; twice as many and one vote"},
+		settings.Setting{Name: "bear_areas", Type: settings.Count, Def: int64(0), Check: settings.In(0, 100), Rule: "0 to 100", Help: "areas that may be lost at once, with all their stores"},
+		settings.Setting{Name: "bear_regions", Type: settings.Count, Def: int64(0), Check: settings.In(0, 100), Rule: "0 to 100", Help: "regions that may be lost at once, with all their stores"},
+		settings.Setting{Name: "region", Type: settings.Text, Check: settings.Word, Rule: "a name", Help: "the region of the area, if there are several"})},
 }
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -41,6 +41,7 @@
 type Core struct {
 	Host     string
 	Area     string
+	Region   string // of its area; none if not told
 	Disk     *Disk
 	Store    *store.Store
 	Registry *registry.Registry
@@ -181,6 +182,9 @@
 	for k, v := range f.Stores {
 		more[k] = v
 	}
+	if c.Region != "" {
+		more["region"] = c.Region
+	}
 	s, err := store.New(f.props("store", "store-"+c.Host, c.Area, c.Host, 7001, 7004, more), e)
 	if err == nil {
 		err = s.Start()
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -19,7 +19,7 @@
 	s.succeeds(in.ID, in.Addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	got := foundGot{Empty: s.led == nil, ID: s.acc.Me().ID, Head: s.head, Never: !s.P.Founding, Area: s.P.Area}
+	got := foundGot{Empty: s.led == nil, ID: s.acc.Me().ID, Head: s.head, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region}
 	if s.led != nil {
 		got.Mesh, got.Members = s.led.Mesh, s.led.Members
 	}
@@ -95,7 +95,7 @@
 		if !got.Never && (least == "" || addrs[i] < least) {
 			least = addrs[i]
 		}
-		in.Members = append(in.Members, ledger.Member{ID: got.ID, Addr: addrs[i], Area: got.Area})
+		in.Members = append(in.Members, ledger.Member{ID: got.ID, Addr: addrs[i], Area: got.Area, Land: got.Land})
 	}
 	if least != s.P.Inner {
 		return
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -72,7 +72,7 @@
 	by := ""
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
 		if to == s.P.Inner {
-			return foundGot{Empty: true, ID: s.acc.Me().ID, Never: !s.P.Founding, Area: s.P.Area}, nil
+			return foundGot{Empty: true, ID: s.acc.Me().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region}, nil
 		}
 		return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Me().ID, s.P.Inner})
 	}, func(to string, got foundGot, err error) bool {
@@ -125,7 +125,7 @@
 func (s *Store) seek(ctx context.Context, to string) bool {
 	for range 3 {
 		s.mu.Lock()
-		ask := joinAsk{ID: s.acc.Me().ID, Addr: s.P.Inner, Mesh: s.led.Mesh, Slot: s.slot, Area: s.P.Area, Knows: ledger.Level}
+		ask := joinAsk{ID: s.acc.Me().ID, Addr: s.P.Inner, Mesh: s.led.Mesh, Slot: s.slot, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
 		s.mu.Unlock()
 		got, err := wire.Ask[joinGot](ctx, s.n, to, "store.join", ask)
 		if err != nil || got.Head == to || got.Head == "" && got.Slot == 0 {
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -75,6 +75,7 @@
 	Head    string          `msgpack:"h"`
 	Never   bool            `msgpack:"n,omitempty"` // it may not found a mesh
 	Area    string          `msgpack:"z,omitempty"`
+	Land    string          `msgpack:"l,omitempty"`
 }
 
 type genesis struct {
@@ -89,6 +90,7 @@
 	Mesh string `msgpack:"m"`
 	Slot uint64 `msgpack:"s"`
 	Area string `msgpack:"z,omitempty"`
+	Land string `msgpack:"l,omitempty"`
 
 	Knows int `msgpack:"k,omitempty"` // the level of commands that it understands
 }
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -1,8 +1,10 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"puffincrank/internal/event"
@@ -30,7 +32,7 @@
 	defer t.mu.Unlock()
 	sp := t.spares[in.ID]
 	if sp == nil || now.Sub(sp.heard) > t.s.P.Lease() {
-		sp = &spare{m: ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area}, since: now}
+		sp = &spare{m: ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land}, since: now}
 		t.spares[in.ID] = sp
 	}
 	sp.slot, sp.heard, sp.knows = in.Slot, now, in.Knows
@@ -46,26 +48,16 @@
 	return sp.slot+near >= slot && time.Since(sp.heard) < t.s.P.Lease() && time.Since(sp.since) >= steady
 }
 
-// crowd counts the members of an area, without one.
-func crowd(all []ledger.Member, area, without string) (n int) {
-	for _, m := range all {
-		if m.Area == area && m.ID != without {
-			n++
-		}
-	}
-	return n
-}
-
 // best gives the stand-by for the place of a member, or for a free one: of the
-// area with the fewest members, so that an area's loss takes few; mu is held.
+// region and area with the fewest members, so that their loss takes few; mu is
+// held.
 func (t *term) best(all []ledger.Member, old string, slot uint64, steady time.Duration) *spare {
 	var pick *spare
 	for _, sp := range t.spares {
 		if !t.ready(sp, slot, steady) || slices.ContainsFunc(all, func(m ledger.Member) bool { return m.ID == sp.m.ID }) {
 			continue
 		}
-		if pick == nil || crowd(all, sp.m.Area, old) < crowd(all, pick.m.Area, old) ||
-			crowd(all, sp.m.Area, old) == crowd(all, pick.m.Area, old) && sp.m.ID < pick.m.ID {
+		if pick == nil || cmp.Or(crowded(all, sp.m, pick.m, old), strings.Compare(sp.m.ID, pick.m.ID)) < 0 {
 			pick = sp
 		}
 	}
@@ -124,6 +116,12 @@
 	// A place is added only while all are in touch: one more voter must not be
 	// what leaves the others short of a majority.
 	free = old == "" && len(all) < want && t.touch(all, "") == len(all)
+	if old == "" && len(all) >= want && t.touch(all, "") == len(all) {
+		// Nobody is lost, so there is no hurry: a stand-by must have shown that it stays.
+		if old = t.s.shift(all, ledger.Member{ID: in.ID, Area: in.Area, Land: in.Land}); old != "" {
+			steady = t.s.P.Replace / 2
+		}
+	}
 	switch {
 	case old == "" && !free:
 		return "", false, "stands by: no place is free, and no member is out of touch for long enough"
@@ -169,7 +167,7 @@
 		got.Say = say
 		return got, nil
 	}
-	r, err := t.seat(ctx, old, free, ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area})
+	r, err := t.seat(ctx, old, free, ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land})
 	if err != nil {
 		return joinGot{}, err
 	}
--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -121,7 +121,8 @@
 	all, want, _ := s.members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(all) >= want && len(all)%2 == 1 {
+	weak := s.weak(all)
+	if len(all) >= want && len(all)%2 == 1 && weak == 0 {
 		s.small = time.Time{}
 		return
 	}
@@ -131,6 +132,6 @@
 	}
 	if time.Now().After(s.small) {
 		s.small = time.Now().Add(s.P.Return)
-		s.e.Log.Emit(event.CoreSmall, "voters", len(all), "wanted", want)
+		s.e.Log.Emit(event.CoreSmall, "voters", len(all), "wanted", want, "crowded", weak)
 	}
 }
