--- a/internal/mutant/core.go
+++ b/internal/mutant/core.go
@@ -9,6 +9,7 @@
 	{"aside-forgotten", Kept, "internal/paxos/acceptor.go", "disk.Adopt(fs, \"v-\")", "disk.Adopt(fs, \"none-\")", "paxos", "TestAdded"},
 	{"torn-taken-up", Kept, "internal/disk/disk.go", "		if _, err := Load(fs, n); err != nil {\n			continue\n", "		if _, err := Load(fs, n); fault.Is(err, fault.Disk) {\n			continue\n", "paxos", "TestAdopt|TestAdded"},
 	{"step-anyhow", Kept, "internal/ledger/step.go", "	if err != nil && !old {\n", "	if err != nil && old {\n", "ledger", "TestStepRefused"},
+	{"voters-stay", Kept, "internal/store/spread.go", "	if least == 0 {\n", "	if least < 1<<40 {\n", "sim", "TestCoreBearsAreas"},
 
 	{"lock-cut-short", Rising, "internal/store/clocks.go", "end := now.Add(drift(time.Duration(c.TTL) * time.Millisecond))", "end := now.Add(drift(time.Duration(c.TTL) * time.Millisecond / 2))", "sim", "TestLockHolders"},
 	{"renewal-shortens", Rising, "internal/store/clocks.go", "old.fence == out[i].Lock.Fence && old.end.After(end) {", "old.fence == out[i].Lock.Fence && old.end.After(end.Add(time.Hour)) {", "sim", "TestLockHolders"},
@@ -29,6 +30,7 @@
 	{"lost-writer-missed", Return, "internal/store/missing.go", "	if !lost {\n		return\n	}\n", "	if !lost || vow.Round < 1<<40 {\n		return\n	}\n", "sim", "TestCoreGone/killed,_the"},
 	{"duty-left-vacant", Return, "internal/store/stand.go", "	case quiet < s.P.Vacant():\n		return s.P.Vacant() - quiet + ", "	case quiet < 40*s.P.Vacant():\n		return 40*s.P.Vacant() - quiet + ", "store", "TestVacant"},
 	{"session-kept", Return, "internal/touch/round.go", "	ballot.Poll(round, t.x.G, core, t.look", "	ballot.Poll(round, t.x.G, core[:1], t.look", "sim", "TestPower"},
+	{"stand-by-not-awaited", Return, "internal/store/yield.go", "		if !able {\n", "		if !sure {\n", "sim", "TestLeftBusy"},
 	{"not-afresh", Return, "internal/proxy/beat.go", "g.state.Is(\"up\", \"draining\") && x.rep.OwnDead(dot)", "g.state.Is(\"draining\") && x.rep.OwnDead(dot)", "sim", "TestNodeFaults"},
 	{"dot-without-start", Return, "internal/replica/replica.go", "dot: self.Node + \"#\" + self.Start,", "dot: self.Node,", "replica", "TestDotOfAStart"},
 }
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -85,9 +85,8 @@
 func (s *Store) onAccept(ctx context.Context, _ wire.Hello, in acceptAsk) (ack, error) {
 	s.mu.Lock()
 	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.ill || s.hung(), Knows: ledger.Level}
-	// While a write hangs, the next would only queue up behind it. One that leaves
-	// accepts nothing that the others would have to get hold of first.
-	able := s.votes() && in.Entry.Slot > s.slot && !s.hung() && !s.shut && !s.foreign(in.Mesh, in.Addr)
+	// While a write hangs, the next would only queue up behind it.
+	able := s.votes() && in.Entry.Slot > s.slot && !s.hung() && !s.foreign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		return a, nil
--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -91,9 +91,9 @@
 }
 
 // give hands a leaving member's place to the best stand-by, if there is one and
-// all the others are in touch. The one that leaves accepts nothing any more: what
-// it may have accepted is with the others within a few rounds, and that is waited
-// for, as is a stand-by that is fetching what came since its last word.
+// all the others are in touch. Between two versions the others hold all that the
+// one that leaves may have accepted, and after its next word the stand-by is
+// whole: both are waited for, as the one that leaves is still there.
 func (t *term) give(ctx context.Context, old string) bool {
 	t.swaps.Lock()
 	defer t.swaps.Unlock()
