Links that a process dialed are bounded by an eighth of its descriptors

Repair asks fellows by lot and fronts meet all owners of the services that they call, so that in time each process holds a link to every other one: 24,000, of 4,100 descriptors.

Ruled out: closing what idles for a time (says nothing of how many there are), refusing calls beyond the bound (loses jobs).

Beyond the bound those used least lately are taken off the list, and closed once nothing is under way on them. The users' sites have 93 machines at the most and 512 links to keep, so nothing changes there.

--- a/internal/props/parts.go
+++ b/internal/props/parts.go
@@ -33,6 +33,11 @@
 // and no more than what two of them leave of the grace.
 func (p Props) Parting() time.Duration { return min(p.Beat(), p.Grace/30) }
 
+// Links is how many links to fellows are kept that aren't in use, 0 for any
+// number: an eighth of the descriptors, as fellows keep as many to here, callers
+// have three quarters and files and workers need some.
+func (p Props) Links() int { return p.Files / 8 }
+
 // Lease is how long a duty stands without a beat.
 func (p Props) Lease() time.Duration { return p.Pace() / 2 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,6 +86,7 @@
 	}
 	x.self = member.Fellow{Node: p.Node, Start: x.boot, Role: "proxy", Area: p.Area, Inner: p.Inner, Outer: p.Outer, Traffic: p.Traffic}
 	x.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "proxy"}, e, g, p.Frame, p.Jobs, p.Patience())
+	x.n.Bound = p.Links()
 	x.rep = replica.New(x.self, x.n, g, e.Log, hlc.New(e.Wall, 2*p.Return), p.Beat(), p.Repair(), p.Bury())
 	x.pick = nominate.New(p.Area, p.Beat(), p.Window, x.fitness)
 	x.again = repeats.New(p.Window)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -95,6 +95,7 @@
 	r.roll, r.mine = member.NewRoll(p.Node, changes), member.NewRoll(p.Node, changes)
 	r.roll.Set(p.Node, r.self)
 	r.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "registry"}, e, g, p.Frame, p.Jobs, p.Patience())
+	r.n.Bound = p.Links()
 	r.rep = replica.New(r.self, r.n, g, e.Log, hlc.New(e.Wall, 2*p.Return), p.Beat(), p.Repair(), p.Bury())
 	r.held = patch.NewHeld(changes / 16)
 	r.rep.Await(true)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -77,6 +77,7 @@
 	}
 	s := &Store{learn: task.NewLock(), points: task.NewLock(), under: map[uint64]time.Time{}, P: p, e: e, g: task.New(context.Background()).Pace(e.Pause), acc: acc, born: time.Now(), ousted: map[string]time.Time{}, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
 	s.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "store"}, e, s.g, p.Frame, p.Jobs, p.Patience())
+	s.n.Bound = p.Links()
 	s.pulse = pulse.New(p.Beat(), p.Doze(), nil)
 	for _, n := range acc.Notes {
 		e.Log.Emit(event.Damaged, "file", n)
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -66,6 +66,7 @@
 			d.l = l
 			n.mu.Unlock()
 			if n.join(l, r) {
+				n.bounded()
 				return
 			}
 			err = fault.New(fault.Closed, "stopping")
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -36,6 +36,7 @@
 	told  [2]int       // what was told to it
 	since atomic.Int64 // when the first of the bulk came
 	haste atomic.Bool  // the fellow goes soon
+	used  atomic.Int64 // when something was posted last, in the node's monotonic time
 	tails []tail       // of the batch that is being written
 	sums  map[string]*Sum
 
@@ -86,6 +87,7 @@
 	l := &link{n: n, conn: conn, hail: hail, far: far, done: make(chan struct{}),
 		wait: map[uint64]*turn{}, sums: map[string]*Sum{}, open: map[uint64]*frame{}}
 	l.slack.L, l.track = &l.mu, n.track(hail.Area)
+	l.used.Store(int64(n.now()))
 	// Fellows of the first version have no pieces to bound.
 	l.q.flow.on, l.q.flow.win = far >= pieces, start
 	return l
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -20,6 +20,7 @@
 	Self     Hello
 	Most     int           // bound on a frame
 	Patience time.Duration // how long a link may stay mute under a call
+	Bound    int           // how many links of ours are kept, 0: any number; more while they are in use
 	env      env.Env
 	g        *task.Group
 	pool     *task.Pool
@@ -35,6 +36,7 @@
 	stir     chan struct{}     // wakes the watch
 	awake    atomic.Bool       // the watch is at work
 	hasty    atomic.Bool       // this node goes soon
+	trims    atomic.Bool       // links are being closed for the bound
 	watching sync.Once
 	turns    sync.Pool
 	side
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -16,6 +16,7 @@
 		// pass bulk, and must not hold up what is urgent.
 		i.lane, i.vast = Jobs, true
 	}
+	l.used.Store(int64(l.n.now()))
 	l.mu.Lock()
 	for waits && !l.over && !l.q.fits(i, l.n.Most) {
 		l.slack.Wait()
