After a rest a window doubles up to what it was when it met a delay

Cause: since a window that met a delay grew by steps of 256 bytes for 8 s, from 4 KiB after each rest. On a wide link a moment's delay (a late process) would have cost each body of 90 kB some 20 ways there and back in place of 5.

Ruled out: keeping the window over a rest (on a thin link it says nothing of now).

It doubles up to the window that met the delay, and beyond it when there was none for sixteen patiences.

--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -44,6 +44,6 @@
 	{"one-lane", Passing, "internal/proxy/steps.go", "	ctx = wire.Lane(ctx, x.lane(j))\n", "	ctx = wire.Lane(ctx, wire.Jobs)\n", "sim", "TestThinLinks"},
 	{"window-open", Passing, "internal/wire/flow.go", "return !w.on || w.let && !w.rest && w.out < w.win", "return true", "sim", "TestThinLinks"},
 	{"answers-not-booked", Passing, "internal/wire/book.go", "	if !ok {\n		return free, l.come(), false\n	}\n", "", "wire", "TestBook"},
-	{"doubles-after-rest", Passing, "internal/wire/flow.go", "now-w.met < lull*patience", "now-w.met < patience", "wire", "TestRested"},
+	{"doubles-after-rest", Passing, "internal/wire/flow.go", "now-w.met >= lull*patience", "now-w.met >= patience", "wire", "TestRested"},
 	{"long-line", Passing, "internal/wire/book.go", "l.hope(size) <= most && l.hope(0) <= most*2/3", "l.hope(size) <= most", "wire", "TestHope"},
 }
--- a/internal/wire/flow.go
+++ b/internal/wire/flow.go
@@ -29,6 +29,7 @@
 	on     bool
 	win    int                  // bytes that may be under way
 	met    time.Duration        // when there was a delay last, 0: never
+	brink  int                  // the window after it: up to there it doubles
 	let    bool                 // it has the turn among the links to its area
 	asks   bool                 // it waits for the turn
 	rest   bool                 // a pause, so that less than a step is under way on average
@@ -127,14 +128,16 @@
 	over = slices.Min(w.last[:min(w.turn, often)])
 	w.out -= m.size
 	w.gauge.note(now, took, took, m.size, more)
+	// Not sooner, though the link rested: those that wait for their turns would
+	// each double, and take from the ones that go what they were let in by.
+	if w.met == 0 || now-w.met >= lull*patience {
+		w.brink = widest
+	}
 	late := float64(over) / float64(patience/ease)
+	w.turns(late, float64(since)/float64(patience/ease), min(m.size, w.win), more)
 	if late > 0.5 {
-		w.met = now
+		w.met, w.brink = now, w.win
 	}
-	// Not sooner, though the link rested: those that wait for their turns would
-	// each double, and take from the ones that go what they were let in by.
-	calm := w.met > 0 && now-w.met < lull*patience
-	w.turns(late, float64(since)/float64(patience/ease), min(m.size, w.win), more, calm)
 	if !more || w.win >= m.size {
 		return 0
 	}
@@ -144,17 +147,17 @@
 // turns sets the window anew after some bytes of it, by the delay as a ratio to
 // what is put up with, and by the time since the last bytes, in the same. It
 // grows by that time and shrinks by parts, so that links which share a thin one
-// come to equal windows; calm is whether there was a delay lately, else it doubles.
-func (w *flow) turns(late, since float64, size int, more, calm bool) {
+// come to equal windows; it doubles up to the brink.
+func (w *flow) turns(late, since float64, size int, more bool) {
 	switch {
 	case late > 1:
 		w.win -= int(float64(size) * min(late-1, 1) / 2)
 	case !more:
 		// Without need it says nothing that there is no delay.
-	case calm:
+	case late > 0.5 || w.win >= w.brink:
 		w.win += int(math.Ceil((1 - late) * grow * since))
 	default:
-		w.win += size
+		w.win = min(w.win+size, w.brink)
 	}
 	w.win = max(least, min(w.win, widest))
 }
