One lane is judged by what it loses, not by half of what gets through by chance

Cause: the test command on a clean clone, under a load of 60 and with the race detector, failed at TestThinLinks: with all in one lane 220 of 1000 transfers were done, and half of what the lanes did (some 205) was the most allowed. In 52 other runs it was 96 to 171: what a jam lets through is chance. The lanes themselves were as ever.

In place of half of the transfers: three quarters, and, new, at least 150 lost (it was 30; 281 to 445 measured) and a fiftieth of the urgent calls not done (403 to 1195 of 6000).

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -239,3 +239,6 @@
 	x.met[id] = time.Now().Add(2*left + x.P.Return)
 	return true
 }
+
+// Links counts the links to fellows that stand, whoever dialed them.
+func (x *Proxy) Links() int { return x.n.Links() }
--- a/internal/sim/congest_test.go
+++ b/internal/sim/congest_test.go
@@ -216,7 +216,8 @@
 	if lanes.lost() > 3 || lanes.bulk["done"] < 330 || lanes.part < 0.8 {
 		t.Errorf("%.2f of the link was used, bulk ended %v", lanes.part, lanes.bulk)
 	}
-	if flat.p99 < 2*lanes.p99 || flat.lost() < 30 || flat.bulk["done"] > lanes.bulk["done"]/2 {
-		t.Errorf("all in one lane does as well: urgent %v, bulk %v", flat.p99, flat.bulk)
+	// What a jam lets through is chance, 96 to 220 of 1000; what it loses is not.
+	if flat.p99 < 2*lanes.p99 || flat.lost() < 150 || flat.urgent["done"] > lanes.urgent["done"]*49/50 || flat.bulk["done"] > lanes.bulk["done"]*3/4 {
+		t.Errorf("all in one lane does as well: urgent %v %v, bulk %v", flat.p99, flat.urgent, flat.bulk)
 	}
 }
