An operator's request is done once and gets its first answer again

Cause: a configuration sent again after a lost answer was compared with what stands and got 409, though it had been taken; a proposal, an abort and the removal of a store likewise. Another document under the number held was acknowledged (NumberConfig answers OK to any number that is not above), so two operators were both confirmed under one number. A handler was registered twice in the store, and nobody noticed.

Now each order carries a request id (puffinctl makes one; without it the digest of who sent what; a number for a configuration under an operator's own number). The same content gets that answer, another gets 409. Two registrations of one message kind panic at the start.

Ruled out: asking every member at each proposal whether it knows the command. The level of commands is agreed on once (level.raise, or the founding) and kept.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -163,5 +163,5 @@
 		}
 	}
 	c := &client{at: at, wait: wait, say: say, dial: dial}
-	return (&command{c: c, a: a, out: out, say: say}).run()
+	return (&command{c: c, a: a, request: newRequestID(), out: out, say: say}).run()
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -42,25 +42,52 @@
 // do makes one call. A node that can't be reached is named, and the next one
 // is tried; a change that may have got through is never sent twice.
 func (c *client) do(method, uri string, body []byte) (reply, int) {
+	return c.try(method, uri, body, method == http.MethodGet)
+}
+
+// order makes a call that carries a request id: the mesh does it once however
+// often it arrives, so it is sent to the next node when its outcome is unknown.
+func (c *client) order(method, uri string, body []byte) (reply, int) {
+	return c.try(method, uri, body, true)
+}
+
+// try asks the nodes in order; repeatable tells that the call may arrive twice.
+func (c *client) try(method, uri string, body []byte, repeatable bool) (reply, int) {
+	maybe := false
 	for i, at := range c.at {
+		last := i+1 == len(c.at)
 		got, sent, err := c.one(method, at, uri, body)
-		if err == nil {
-			// 503 promises that nothing was done, so another node may be asked.
-			if got.code == http.StatusServiceUnavailable && i+1 < len(c.at) {
-				fmt.Fprintf(c.say, "%s: no majority in touch, trying %s\n", at, c.at[i+1])
-				continue
+		switch {
+		case err != nil:
+			fmt.Fprintf(c.say, "%s can't be reached: %v\n", at, err)
+			if maybe = maybe || sent && method != http.MethodGet; maybe && !repeatable {
+				return c.unknown()
 			}
+		case got.code == http.StatusServiceUnavailable && !last:
+			// 503 promises that nothing was done, so another node may be asked.
+			fmt.Fprintf(c.say, "%s: no majority in touch, trying %s\n", at, c.at[i+1])
+		case exit(got.code) == Unknown && repeatable && !last:
+			maybe = maybe || method != http.MethodGet
+			fmt.Fprintf(c.say, "%s: outcome unknown, sent again to %s under the same request id\n", at, c.at[i+1])
+		case got.code == http.StatusServiceUnavailable && maybe:
+			// Nothing was done by this node, but an earlier one may have got through.
+			return c.unknown()
+		default:
 			return got, 0
 		}
-		fmt.Fprintf(c.say, "%s can't be reached: %v\n", at, err)
-		if sent && method != http.MethodGet {
-			fmt.Fprintf(c.say, "outcome unknown: the change may have been done; see 'puffinctl history' or read it back\n")
-			return reply{}, Unknown
-		}
+	}
+	if maybe {
+		return c.unknown()
 	}
 	return reply{}, Mute
 }
 
+// unknown ends a call that may have been done.
+func (c *client) unknown() (reply, int) {
+	fmt.Fprintf(c.say, "outcome unknown: the change may have been done; see 'puffinctl history' or read it back\n")
+	return reply{}, Unknown
+}
+
 func (c *client) one(method, at, uri string, body []byte) (reply, bool, error) {
 	ctx, end := context.WithTimeout(context.Background(), c.wait)
 	defer end()
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,12 +13,16 @@
 )
 
 type command struct {
-	c   *client
-	a   args
-	out io.Writer
-	say io.Writer
+	c       *client
+	a       args
+	request string // names this command to the mesh, however often it is sent
+	out     io.Writer
+	say     io.Writer
 }
 
+// newRequestID makes a name that no other command has.
+func newRequestID() string { return rand.Text() }
+
 func (m *command) run() int {
 	a := m.a
 	switch {
@@ -52,7 +57,7 @@
 		}
 		return m.show(http.MethodPost, uri, []byte("{}"), nil)
 	case a.Remove != nil:
-		return m.show(http.MethodDelete, "/puffin/stores/"+url.PathEscape(a.Remove.ID), nil, nil)
+		return m.order(http.MethodDelete, "/puffin/stores/"+url.PathEscape(a.Remove.ID), nil, nil, nil)
 	case a.Lock != nil:
 		return m.lock()
 	case a.Number != nil:
@@ -68,6 +73,22 @@
 // show makes a call and prints its answer: as JSON, or by f.
 func (m *command) show(method, uri string, body []byte, f func(raw []byte) error) int {
 	got, bad := m.c.do(method, uri, body)
+	return m.print(got, bad, f)
+}
+
+// order makes a call of an operator under a request id of its own, and prints
+// its answer.
+func (m *command) order(method, path string, q url.Values, body []byte, f func(raw []byte) error) int {
+	if q == nil {
+		q = url.Values{}
+	}
+	q.Set("request_id", m.request)
+	got, bad := m.c.order(method, path+"?"+q.Encode(), body)
+	return m.print(got, bad, f)
+}
+
+// print shows an answer: as JSON, or by f.
+func (m *command) print(got reply, bad int, f func(raw []byte) error) int {
 	if bad != 0 {
 		return bad
 	}
@@ -138,7 +159,7 @@
 			q.Set("who", c.Apply.Who)
 		}
 		return m.file(c.Apply.File, func(doc []byte) int {
-			return m.show(http.MethodPut, "/puffin/config?"+q.Encode(), doc, func(raw []byte) error {
+			return m.order(http.MethodPut, "/puffin/config", q, doc, func(raw []byte) error {
 				var got struct {
 					Version uint64 `json:"version"`
 					Trial   uint64 `json:"trial"`
--- a/internal/ctl/trials.go
+++ b/internal/ctl/trials.go
@@ -50,7 +50,7 @@
 	if p.Who != "" {
 		q.Set("who", p.Who)
 	}
-	return m.show(http.MethodPost, "/puffin/trials?"+q.Encode(), pack(in), func(raw []byte) error {
+	return m.order(http.MethodPost, "/puffin/trials", q, pack(in), func(raw []byte) error {
 		var got struct {
 			Version, Trial uint64
 		}
@@ -117,11 +117,11 @@
 			<-t.C
 		}
 	case "abort":
-		q := ""
+		q := url.Values{}
 		if t.Who != "" {
-			q = "?who=" + url.QueryEscape(t.Who)
+			q.Set("who", t.Who)
 		}
-		return m.show(http.MethodPost, at+"/abort"+q, []byte("{}"), func(raw []byte) error {
+		return m.order(http.MethodPost, at+"/abort", q, []byte("{}"), func(raw []byte) error {
 			_, err := fmt.Fprintf(m.out, "trial %d is aborted; the old path stays\n", t.ID)
 			return err
 		})
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -25,6 +25,7 @@
 	Steps   []patch.Step `msgpack:"p,omitempty"` // in the place of Doc, from the version that the asker has
 	Trials  []Trial      `msgpack:"t,omitempty"`
 	Locks   map[string]Lock
+	Earlier *Answered `msgpack:"q,omitempty"` // an answered request
 }
 
 // The codes of a receipt.
@@ -35,14 +36,21 @@
 	Fenced   = "fenced" // the writer's ballot is below one already seen
 	Gone     = "gone"   // the history does not reach back so far
 	Wrong    = "wrong"
-	Full     = "full" // nothing was done for want of room
+	Full     = "full"   // nothing was done for want of room
+	Reused   = "reused" // another content was taken under the request's id or number
 )
 
 // Command changes the state.
 type Command interface{ Apply(s *State) Receipt }
 
+// KindRequest is the stored name of a Request.
+const KindRequest = "request.once"
+
 // kinds names every command for the stored batch. A name is never re-used.
 var kinds = map[string]func() Command{
+	KindRequest:     func() Command { return &Request{} },
+	"level.raise":   func() Command { return &RaiseLevel{} },
+	"request.trim":  func() Command { return &TrimRequests{} },
 	"noop":          func() Command { return &Noop{} },
 	"config.set":    func() Command { return &SetConfig{} },
 	"config.step":   func() Command { return &StepConfig{} },
@@ -84,7 +92,13 @@
 		return nil, fault.New(fault.Input, "command %q is not known here", p.Kind)
 	}
 	c := make()
-	return c, fault.Wrap(fault.Input, msgpack.Unmarshal(p.Body, c), "read "+p.Kind)
+	if err := msgpack.Unmarshal(p.Body, c); err != nil {
+		return nil, fault.Wrap(fault.Input, err, "read "+p.Kind)
+	}
+	if request, ok := c.(*Request); ok {
+		return c, request.open()
+	}
+	return c, nil
 }
 
 // Batch is the commands of one version.
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -43,6 +43,12 @@
 			r.Doc = c.Doc
 		}
 		return r
+	case "request":
+		a, ok := s.Answered(name)
+		if !ok {
+			return Receipt{Code: Absent, Version: s.Config().Version, Say: "no such request is known"}
+		}
+		return Receipt{Code: OK, Version: s.Config().Version, Earlier: &a}
 	case "history":
 		var out []Config
 		for _, c := range s.Configs {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -73,9 +73,14 @@
 	Puts    []Put                    `msgpack:"puts"`
 	Trimmed uint64                   `msgpack:"trimmed"` // puts that are no longer kept
 
-	size  int               // bytes of the puts that are kept
-	first map[string]uint64 // key and value to the revision that it first got, of the puts kept
-	rows  map[string][]Put  // the puts kept, by group
+	Requests  []Answered `msgpack:"requests,omitempty"`  // operators' requests that were taken, the oldest first
+	Forgotten uint64     `msgpack:"forgotten,omitempty"` // answered requests that are no longer kept
+	Level     int        `msgpack:"level,omitempty"`     // of commands, that every member has known once
+
+	answers map[string]uint64 // request id to its place in the row of all answered ones
+	size    int               // bytes of the puts that are kept
+	first   map[string]uint64 // key and value to the revision that it first got, of the puts kept
+	rows    map[string][]Put  // the puts kept, by group
 }
 
 // History bounds how many configurations are kept, and Room how many bytes
@@ -90,7 +95,7 @@
 func New(mesh string, members []Member) *State {
 	return &State{Mesh: mesh, Members: members, Oldest: 1, Keys: map[string]Key{}, Locks: map[string]Lock{},
 		Numbers: map[string]uint64{}, Duties: map[string]ballot.Number{}, Cells: map[string]Cell{}, Groups: map[string]Group{},
-		first: map[string]uint64{}, rows: map[string][]Put{}}
+		first: map[string]uint64{}, rows: map[string][]Put{}, answers: map[string]uint64{}}
 }
 
 // Load reads a state from a checkpoint.
@@ -102,6 +107,9 @@
 	for _, p := range s.Puts {
 		s.index(p)
 	}
+	for i, a := range s.Requests {
+		s.answers[a.ID] = s.Forgotten + uint64(i)
+	}
 	return s, nil
 }
 
--- a/internal/ledger/step.go
+++ b/internal/ledger/step.go
@@ -6,10 +6,8 @@
 	"puffincrank/internal/patch"
 )
 
-// Level is what this program understands of the commands, told with each ack;
-// a program that tells none has 0. From 1 on it knows StepConfig. A command of
-// a level is proposed only when all who vote, or stand by, are known to be of it.
-const Level = 1
+// LevelSteps is the level from which on a program knows StepConfig.
+const LevelSteps = 1
 
 // StepConfig puts in force what a step makes of the document that stands: the
 // same as a SetConfig or, with a number, a NumberConfig with the whole of it.
--- /dev/null
+++ b/internal/registry/abort.go
@@ -0,0 +1,56 @@
+package registry
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"puffincrank/internal/event"
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/outer"
+	"puffincrank/internal/rules"
+)
+
+// abort ends a trial by an operator's word: the old path stays.
+func (r *Registry) abort(w http.ResponseWriter, req *http.Request) {
+	id, err := strconv.ParseUint(chi.URLParam(req, "id"), 10, 64)
+	if err != nil {
+		outer.JSON(w, http.StatusNotFound, outer.Wrong{Wrong: "no such trial"})
+		return
+	}
+	key := requestKey(w, req, "abort", []byte(who(req)), []byte(chi.URLParam(req, "id")))
+	if key == nil {
+		return
+	}
+	ctx, end := r.timed(req)
+	defer end()
+	earlier, known, err := r.earlierAnswer(ctx, key)
+	if err != nil {
+		r.failed(w, err)
+		return
+	}
+	if known {
+		answer(w, earlier, map[string]any{"version": earlier.Version, "trial": id})
+		return
+	}
+	now, err := r.confirmed(ctx)
+	if err != nil {
+		r.failed(w, err)
+		return
+	}
+	doc, err := rules.Settle(now.Doc, id, false)
+	if err != nil {
+		refuse(w, err.Error(), nil)
+		return
+	}
+	got, err := r.stores.offerOnce(ctx, "trial.decide", &ledger.Decide{ID: id, Base: now.Version, Doc: doc, State: ledger.Held, Why: "aborted by " + who(req), Who: who(req)}, key)
+	if err != nil {
+		r.failed(w, err)
+		return
+	}
+	if got.Code == ledger.OK {
+		r.e.Log.Emit(event.HeldBack, "trial", id, "version", got.Version, "why", "aborted by "+who(req))
+	}
+	answer(w, got, map[string]any{"version": got.Version, "trial": id})
+}
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -33,15 +33,22 @@
 		return
 	}
 	now := q.Get("emergency") == "true"
+	key := requestKey(w, req, "config", []byte(who(req)), []byte(q.Get("based_on")), []byte(q.Get("emergency")), raw)
+	if key == nil {
+		return
+	}
 	ctx, end := r.timed(req)
 	defer end()
+	if r.answerEarlier(ctx, w, key) {
+		return
+	}
 	if !now && base > 0 {
 		old, err := r.confirmed(ctx)
 		if err != nil {
 			r.failed(w, err)
 			return
 		}
-		if old.Version == base && r.rehearse(ctx, w, req, old, raw) {
+		if old.Version == base && r.rehearse(ctx, w, req, key, old, raw) {
 			return
 		}
 	}
@@ -49,25 +56,23 @@
 	if now {
 		why = "applied whole as an emergency"
 	}
-	got, err := r.stores.offer(ctx, "config.set", &ledger.SetConfig{Base: base, Doc: raw, Who: who(req), Why: why, Now: now})
+	got, err := r.stores.offerOnce(ctx, "config.set", &ledger.SetConfig{Base: base, Doc: raw, Who: who(req), Why: why, Now: now}, key)
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Code != ledger.OK {
-		outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: got.Say, Version: got.Version})
-		return
-	}
-	if now {
+	if got.Code == ledger.OK && now {
 		r.e.Log.Emit(event.Emergency, "version", got.Version, "who", who(req))
 	}
-	r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
-	outer.JSON(w, http.StatusOK, map[string]any{"version": got.Version})
+	if got.Code == ledger.OK {
+		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
+	}
+	answerOrder(w, got, nil)
 }
 
 // rehearse begins a trial for a whole document's changed live paths; false
 // means that there are none.
-func (r *Registry) rehearse(ctx context.Context, w http.ResponseWriter, req *http.Request, old ledger.Receipt, raw []byte) bool {
+func (r *Registry) rehearse(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, old ledger.Receipt, raw []byte) bool {
 	for _, t := range old.Trials {
 		if t.State == ledger.Running {
 			outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: fmt.Sprintf("trial %d runs: wait, abort it, or apply as an emergency", t.ID), Version: old.Version})
@@ -83,7 +88,7 @@
 		refuse(w, "a path with traffic is rehearsed first, and its old arm needs what the document drops; keep that until the trial ends, or apply as an emergency", bad)
 		return true
 	}
-	r.begin(ctx, w, req, &ledger.Propose{ID: old.Number + 1, Base: old.Version, Doc: doc, Paths: paths, Slice: c.Judge.Share("slice"), Who: who(req)})
+	r.begin(ctx, w, req, key, &ledger.Propose{ID: old.Number + 1, Base: old.Version, Doc: doc, Paths: paths, Slice: c.Judge.Share("slice"), Who: who(req)})
 	return true
 }
 
--- a/internal/registry/coord.go
+++ b/internal/registry/coord.go
@@ -57,7 +57,7 @@
 
 // answer turns a receipt into a status and a body.
 func answer(w http.ResponseWriter, got ledger.Receipt, body map[string]any) {
-	code := map[string]int{ledger.OK: http.StatusOK, ledger.Conflict: http.StatusConflict, ledger.Absent: http.StatusNotFound, ledger.Gone: http.StatusGone}[got.Code]
+	code := map[string]int{ledger.OK: http.StatusOK, ledger.Conflict: http.StatusConflict, ledger.Reused: http.StatusConflict, ledger.Absent: http.StatusNotFound, ledger.Gone: http.StatusGone, ledger.Full: http.StatusServiceUnavailable}[got.Code]
 	if code == 0 {
 		code = http.StatusInternalServerError
 	}
--- a/internal/registry/number.go
+++ b/internal/registry/number.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
@@ -11,10 +12,12 @@
 	"puffincrank/internal/store"
 )
 
-// numberConfig takes a whole document by the operator's own number: the
-// highest holds, at once and without a rehearsal, and one that is not above
-// the version that stands is acknowledged and changes nothing. A broken one
-// is refused whatever its number.
+// numberConfig takes a whole document by the operator's own number: the highest
+// holds, at once and without a rehearsal, and one that is not above the version
+// that stands is acknowledged and changes nothing. A number stands for one
+// content: whoever sends another under one that was taken gets a 409, and the
+// same content is acknowledged as often as it comes. A broken document is
+// refused whatever its number.
 func (r *Registry) numberConfig(w http.ResponseWriter, req *http.Request) {
 	raw, ok := r.docBody(w, req)
 	if !ok {
@@ -32,28 +35,30 @@
 	if c == nil {
 		return
 	}
-	number := c.Number
+	key := numberKey(c.Number, raw)
 	ctx, end := r.timed(req)
 	defer end()
-	r.mu.Lock()
-	old := r.rules != nil && r.rules.Version >= number
-	r.mu.Unlock()
-	var got ledger.Receipt
-	var err error
-	if old {
-		// Sent again or overtaken: nothing needs to be written, only confirmed.
-		got, err = r.stores.read(ctx, store.Query{What: "config", From: number})
-	} else {
-		got, err = r.stores.offer(ctx, "config.number", &ledger.NumberConfig{Number: number, Doc: raw, Who: who(req), Why: "applied whole by its number"})
+	got, known, err := r.knownNumber(ctx, key)
+	if err == nil && !known {
+		got, err = r.stores.offerOnce(ctx, "config.number", &ledger.NumberConfig{Number: c.Number, Doc: raw, Who: who(req), Why: "applied whole by its number"}, key)
 	}
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Version == number && !old && got.Say == "" {
+	if got.Code == ledger.OK && got.Version == c.Number && !known && got.Say == "" {
 		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
 	}
-	outer.JSON(w, http.StatusOK, map[string]any{"version": got.Version})
+	answerOrder(w, got, nil)
+}
+
+// knownNumber looks whether a number that is not above the version held here has
+// been answered: then nothing needs to be written for it.
+func (r *Registry) knownNumber(ctx context.Context, key *store.RequestKey) (ledger.Receipt, bool, error) {
+	if r.version() < key.Number {
+		return ledger.Receipt{}, false, nil
+	}
+	return r.earlierAnswer(ctx, key)
 }
 
 // sentConfig gives the newest document byte for byte as an operator sent it.
--- /dev/null
+++ b/internal/registry/requests.go
@@ -0,0 +1,106 @@
+package registry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/outer"
+	"puffincrank/internal/settings"
+	"puffincrank/internal/store"
+)
+
+// requestIDParameter is the query parameter by which a caller names its request.
+const requestIDParameter = "request_id"
+
+// requestKey identifies an operator's request: by the id that the call brings or,
+// without one, by the digest of its content. It answers the call and gives nil
+// when the id can't be one.
+func requestKey(w http.ResponseWriter, req *http.Request, kind string, content ...[]byte) *store.RequestKey {
+	digest := contentDigest(kind, content)
+	id := req.URL.Query().Get(requestIDParameter)
+	if id == "" {
+		return &store.RequestKey{ID: kind + "/" + hex.EncodeToString(digest[:16]), Digest: digest}
+	}
+	if err := settings.Word(id); err != nil {
+		refuse(w, requestIDParameter+" "+err.Error(), nil)
+		return nil
+	}
+	return &store.RequestKey{ID: "id/" + id, Digest: digest}
+}
+
+// contentDigest is the identity of a request's content; each part is led in by
+// its length, so that no two rows of parts look alike.
+func contentDigest(kind string, content [][]byte) []byte {
+	sum := sha256.New()
+	for _, part := range append([][]byte{[]byte(kind)}, content...) {
+		fmt.Fprintf(sum, "%d:", len(part))
+		sum.Write(part)
+	}
+	return sum.Sum(nil)
+}
+
+// numberKey identifies a configuration under the operator's own number. One
+// number stands for one content, whoever sends it.
+func numberKey(number uint64, doc []byte) *store.RequestKey {
+	return &store.RequestKey{ID: ledger.NumberRequestID(number), Digest: ledger.DocumentDigest(doc), Number: number}
+}
+
+// earlierAnswer gives the first answer of a request that was taken already. A
+// majority confirms that it is known, or that it is not.
+func (r *Registry) earlierAnswer(ctx context.Context, key *store.RequestKey) (got ledger.Receipt, known bool, err error) {
+	got, err = r.stores.read(ctx, store.Query{What: "request", Name: key.ID})
+	if err != nil || got.Code != ledger.OK || got.Earlier == nil {
+		return ledger.Receipt{}, false, err
+	}
+	return got.Earlier.Repeat(key.Digest), true, nil
+}
+
+// answerOrder answers an order that puts a version in force, or begins a trial.
+func answerOrder(w http.ResponseWriter, got ledger.Receipt, paths []string) {
+	switch {
+	case got.Code != ledger.OK:
+		outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: got.Say, Version: got.Version})
+	case got.Number > 0:
+		outer.JSON(w, http.StatusOK, map[string]any{"version": got.Version, "trial": got.Number, "paths": paths})
+	default:
+		outer.JSON(w, http.StatusOK, map[string]any{"version": got.Version})
+	}
+}
+
+// answerEarlier answers a request whose first answer is known; false means that
+// it is not, and nothing was answered.
+func (r *Registry) answerEarlier(ctx context.Context, w http.ResponseWriter, key *store.RequestKey) bool {
+	got, known, err := r.earlierAnswer(ctx, key)
+	if err != nil {
+		r.failed(w, err)
+		return true
+	}
+	if !known {
+		return false
+	}
+	var paths []string
+	if got.Code == ledger.OK && got.Number > 0 {
+		now, err := r.confirmed(ctx)
+		if err != nil {
+			r.failed(w, err)
+			return true
+		}
+		paths = pathsOf(now.Trials, got.Number)
+	}
+	answerOrder(w, got, paths)
+	return true
+}
+
+// pathsOf gives the paths of a trial, none when it is no longer known.
+func pathsOf(trials []ledger.Trial, id uint64) []string {
+	for _, t := range trials {
+		if t.ID == id {
+			return t.Paths
+		}
+	}
+	return []string{}
+}
--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -154,6 +154,15 @@
 	return c.offerBy(ctx, kind, cmd, time.Time{})
 }
 
+// offerOnce proposes the command of a request that may be sent again.
+func (c *stores) offerOnce(ctx context.Context, kind string, cmd ledger.Command, key *store.RequestKey) (ledger.Receipt, error) {
+	p, err := ledger.Pack(kind, cmd)
+	if err != nil {
+		return ledger.Receipt{}, err
+	}
+	return c.ask(ctx, "store.offer", store.Offer{Cmd: p, Once: key}, false)
+}
+
 // offerBy proposes a command that must not be done when it comes later than by.
 func (c *stores) offerBy(ctx context.Context, kind string, cmd ledger.Command, by time.Time) (ledger.Receipt, error) {
 	p, err := ledger.Pack(kind, cmd)
@@ -207,7 +216,15 @@
 	ctx, end := r.timed(req)
 	defer end()
 	id := chi.URLParam(req, "id")
-	got, err := r.stores.ask(ctx, "store.remove", store.RemoveAsk{ID: id}, false)
+	// A replica has its id for itself and for ever, so the id names the request.
+	key := requestKey(w, req, "remove", []byte(id))
+	if key == nil {
+		return
+	}
+	got, known, err := r.earlierAnswer(ctx, key)
+	if err == nil && !known {
+		got, err = r.stores.ask(ctx, "store.remove", store.RemoveAsk{ID: id, Once: key}, false)
+	}
 	if err != nil {
 		r.failed(w, err)
 		return
--- /dev/null
+++ b/internal/sim/numberrace_test.go
@@ -0,0 +1,181 @@
+package sim
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/ledger"
+)
+
+// numberRace is one race of orders under one number.
+type numberRace struct {
+	f       *Fleet
+	rnd     *rand.Rand
+	number  uint64
+	answers [][]int // content to the codes that its senders got
+}
+
+// content is one of the contents that are sent under the number.
+func (r *numberRace) content(i int) string {
+	doc := strings.Replace(r.f.S.Doc, "{", fmt.Sprintf(`{"version":%d,`, r.number), 1)
+	return strings.Replace(doc, `"left_ms":1000`, fmt.Sprintf(`"left_ms":%d`, 1000+i), 1)
+}
+
+// send sends a content to any node, and again until its outcome is certain.
+func (r *numberRace) send(i int, at []string) (codes []int) {
+	for range 12 {
+		code, _ := r.f.Ask("PUT", at[r.rnd.IntN(len(at))]+":7003", "/puffin/config?by=number&left_ms=1500", r.content(i))
+		codes = append(codes, code)
+		if code == 200 || code == 409 {
+			return codes
+		}
+		Wait(200 * time.Millisecond)
+	}
+	return codes
+}
+
+// TestNumberRaces: up to eight orders at once, to all nodes, under one number,
+// with four contents; each is sent again after its answer, in any order, while the
+// leader is killed, frozen for 3 s, or all stores are restarted. One content is
+// confirmed, it is what stands and is read back, and no other ever is.
+func TestNumberRaces(t *testing.T) {
+	t.Parallel()
+	for seed := range seeds(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := Fumettoteca(0.1)
+				f := NewFleet(t, s, seed+860)
+				f.Told = tight
+				defer f.Stop()
+				f.Start()
+				var at []string
+				for _, n := range f.Nodes {
+					at = append(at, n.Host)
+				}
+				for _, c := range f.Cores {
+					at = append(at, c.Host)
+				}
+				number := uint64(10)
+				for round := range 4 {
+					number += uint64(1 + round)
+					f.raceUnder(t, seed*10+uint64(round), number, at, round)
+				}
+			})
+		})
+	}
+}
+
+func (f *Fleet) raceUnder(t *testing.T, seed, number uint64, at []string, trouble int) {
+	const contents, senders = 4, 8
+	r := &numberRace{f: f, number: number, rnd: rand.New(rand.NewPCG(seed, number))}
+	type outcome struct {
+		content int
+		codes   []int
+	}
+	done := make(chan outcome, senders)
+	for i := range senders {
+		one := &numberRace{f: f, number: number, rnd: rand.New(rand.NewPCG(seed, uint64(i)))}
+		go func() {
+			Wait(time.Duration(one.rnd.IntN(40)) * time.Millisecond)
+			done <- outcome{i % contents, one.send(i%contents, at)}
+		}()
+	}
+	Wait(time.Duration(10+r.rnd.IntN(30)) * time.Millisecond)
+	f.raceTrouble(trouble)
+	confirmed, refused := map[int]bool{}, map[int]bool{}
+	for range senders {
+		o := <-done
+		for _, code := range o.codes {
+			confirmed[o.content] = confirmed[o.content] || code == 200
+			refused[o.content] = refused[o.content] || code == 409
+		}
+	}
+	Wait(4 * time.Second)
+	if len(confirmed) == 0 || count(confirmed) != 1 {
+		t.Errorf("seed %d, number %d, trouble %d: confirmed contents %v", seed, number, trouble, confirmed)
+	}
+	for i := range contents {
+		if confirmed[i] && refused[i] {
+			t.Errorf("seed %d, number %d: content %d was confirmed and refused", seed, number, i)
+		}
+		// Sent again, to any node, in any order.
+		want := 409
+		if confirmed[i] {
+			want = 200
+		}
+		code, _ := f.Ask("PUT", at[r.rnd.IntN(len(at))]+":7003", "/puffin/config?by=number", r.content(i))
+		if code != want {
+			t.Errorf("seed %d, number %d: content %d sent again: %d, want %d", seed, number, i, code, want)
+		}
+		if confirmed[i] {
+			f.readsBack(t, at, r.content(i))
+		}
+	}
+}
+
+// raceTrouble strikes the core in the middle of a race.
+func (f *Fleet) raceTrouble(kind int) {
+	w := f.Writer()
+	if w == nil {
+		return
+	}
+	switch kind {
+	case 1:
+		f.KillCore(w, true)
+		Wait(time.Second)
+		f.BackCore(w)
+	case 2:
+		f.Net.Freeze("store-"+w.Host, true)
+		Wait(3 * time.Second)
+		f.Net.Freeze("store-"+w.Host, false)
+	case 3:
+		for _, c := range f.Cores {
+			f.KillCore(c, true)
+		}
+		Wait(200 * time.Millisecond)
+		for _, c := range f.Cores {
+			f.BackCore(c)
+		}
+	}
+}
+
+// readsBack fails the test unless every node that answers gives this document.
+func (f *Fleet) readsBack(t *testing.T, at []string, doc string) {
+	t.Helper()
+	answered := 0
+	for _, a := range at {
+		code, got := f.Get(a+":7003", "/puffin/config?as=sent&left_ms=2000")
+		if code != 200 {
+			continue
+		}
+		answered++
+		if !sameJSON(doc, got) {
+			t.Errorf("%s reads back another document", a)
+		}
+	}
+	if answered < len(at)-1 {
+		t.Errorf("only %d of %d nodes read it back", answered, len(at))
+	}
+}
+
+func count(set map[int]bool) (n int) {
+	for _, in := range set {
+		if in {
+			n++
+		}
+	}
+	return n
+}
+
+// sameJSON tells whether an answer is a document, whatever the order of fields.
+func sameJSON(doc string, got map[string]any) bool {
+	raw, err := json.Marshal(got)
+	return err == nil && bytes.Equal(ledger.DocumentDigest([]byte(doc)), ledger.DocumentDigest(raw))
+}
--- /dev/null
+++ b/internal/sim/ordersagain_test.go
@@ -0,0 +1,79 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestOrderSentAgain: an order whose answer was lost is sent again to another
+// node, by the leader's successor, and after a restart of the whole core. It gets
+// the first answer each time, and is done once.
+func TestOrderSentAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := rehearsal()
+		f := NewFleet(t, s, 71)
+		defer f.Stop()
+		f.Start()
+		wait := f.Load(s.Lines, 4*time.Second)
+		Wait(2 * time.Second)
+		orders := []struct {
+			name, method, uri, body string
+			answer                  map[string]any
+		}{
+			{name: "a whole document", method: "PUT", uri: "/puffin/config?based_on=1&emergency=true", body: s.Doc},
+			{name: "a proposal", method: "POST", uri: "/puffin/trials?based_on=2", body: `{"path":"read","service":"pages2"}`},
+			{name: "an abort", method: "POST", uri: "/puffin/trials/1/abort", body: `{}`},
+			{name: "a document under a request id", method: "PUT", uri: "/puffin/config?based_on=4&request_id=r1", body: s.Doc},
+		}
+		for i := range orders {
+			o := &orders[i]
+			code, got := f.Ask(o.method, f.Nodes[i].Host+":7003", o.uri, o.body)
+			if code != 200 {
+				t.Fatalf("%s: %d %v", o.name, code, got)
+			}
+			o.answer = got
+		}
+		wait()
+		_, before := f.Get(f.Nodes[0].Host+":7003", "/puffin/config")
+		again := func(when string) {
+			for i, o := range orders {
+				for _, at := range []string{f.Nodes[i+1].Host, f.Cores[i%3].Host} {
+					code, got := f.Ask(o.method, at+":7003", o.uri, o.body)
+					if code != 200 || fmt.Sprint(got) != fmt.Sprint(o.answer) {
+						t.Errorf("%s, sent again %s: %d %v, was %v", o.name, when, code, got, o.answer)
+					}
+				}
+			}
+			if _, now := f.Get(f.Nodes[0].Host+":7003", "/puffin/config"); now["version"] != before["version"] {
+				t.Errorf("%s: version %v, was %v", when, now["version"], before["version"])
+			}
+		}
+		again("at once")
+		w := f.Writer()
+		f.KillCore(w, true)
+		f.Until(5*time.Second, "another leads", func() bool { n := f.Writer(); return n != nil && n != w })
+		f.BackCore(w)
+		Wait(2 * time.Second)
+		again("to the next leader")
+		for _, c := range f.Cores {
+			f.KillCore(c, true)
+		}
+		for _, c := range f.Cores {
+			f.BackCore(c)
+		}
+		f.Until(8*time.Second, "a store leads", func() bool { return f.Writer() != nil })
+		Wait(3 * time.Second)
+		again("after the restart of all")
+		if code, got := f.Ask("PUT", f.Nodes[0].Host+":7003", "/puffin/config?based_on=5&request_id=r1", s.Doc); code != 409 {
+			t.Errorf("another content under a request id: %d %v", code, got)
+		}
+		if code, _ := f.Ask("PUT", f.Nodes[0].Host+":7003", "/puffin/config?based_on=5&request_id="+strings.Repeat("x", 65), s.Doc); code != 422 {
+			t.Errorf("a request id that is too long: %d", code)
+		}
+		f.Judge()
+	})
+}
--- a/internal/wire/take.go
+++ b/internal/wire/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"puffincrank/internal/event"
@@ -15,8 +16,12 @@
 	run  func(ctx context.Context, from Hello, f *frame) (*room, error)
 }
 
-// On adds a taker with typed messages.
+// On adds a taker with typed messages. It panics when the kind has one already,
+// as http.ServeMux does: which of the two would answer is a fault of the program.
 func On[I, O any](n *Node, kind string, f func(ctx context.Context, from Hello, in I) (O, error)) {
+	if n.takers[kind] != nil {
+		panic(fmt.Sprintf("wire: kind %q is registered twice", kind))
+	}
 	n.takers[kind] = &taker{kind, func(ctx context.Context, from Hello, got *frame) (*room, error) {
 		var in I
 		err := Unpack(got.body, &in)
