--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -55,7 +55,10 @@
 	if err != nil {
 		return fault.Wrap(fault.Disk, err, "create "+name)
 	}
-	_, err = f.Write(append(head, data...))
+	// In two writes: a copy of the data, which may be large, is spared.
+	if _, err = f.Write(head); err == nil {
+		_, err = f.Write(data)
+	}
 	if err == nil {
 		err = f.Sync()
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -28,6 +28,9 @@
 	Foreign       = Kind{311, "foreign", "data of another mesh or a newer version was refused", true}
 	Unsafe        = Kind{312, "unsafe-removal", "a removal that would leave the core without a majority was refused", true}
 	CoreSmall     = Kind{313, "core-small", "fewer stores vote than wanted, an even number, or too many in one area or region: the core bears the loss of fewer", true}
+	StateLarge    = Kind{314, "state-large", "the replicated state nears its bound, beyond which changes are refused", true}
+	SnapshotBad   = Kind{315, "snapshot-bad", "a snapshot came damaged or not as announced; nothing of it was installed", true}
+	Left          = Kind{316, "store-left", "a member stopped politely, with its place given or the others whole", false}
 	Won           = Kind{401, "duty-won", "this node won a duty", false}
 	Lost          = Kind{402, "duty-lost", "this node lost or gave up a duty", true}
 	SessionUp     = Kind{403, "session-up", "a session with a control node stands", false}
@@ -59,7 +62,7 @@
 
 // Catalogue lists every kind in order.
 var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, BadLink, Unspoken, Mute,
-	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall,
+	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall, StateLarge, SnapshotBad, Left,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch, Unsure,
 	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining,
 	Garbled, Unfit, Fit, BeatBad, Twice, Stranger,
--- a/internal/paxos/acceptor.go
+++ b/internal/paxos/acceptor.go
@@ -65,10 +65,10 @@
 	low     uint64 // the highest slot that was trimmed
 	me      Identity
 	vow     ballot.Number
-	point   *Checkpoint
-	spare   int      // bytes that are kept free for a checkpoint, as far as known
-	harmed  uint64   // the highest slot whose file was damaged
-	Notes   []string // what was found damaged at start
+	point   *Checkpoint // without its state, which stays on the disk
+	spare   int         // bytes that are kept free for a checkpoint, as far as known
+	harmed  uint64      // the highest slot whose file was damaged
+	Notes   []string    // what was found damaged at start
 }
 
 // Open reads the folder of a replica. A damaged identity, promise or only
@@ -128,7 +128,7 @@
 			a.entries[e.Slot], a.sums[e.Slot] = &e, e.Sum()
 		}
 		if n[0] == 'c' && (a.point == nil || c.Slot > a.point.Slot) {
-			a.point = &c
+			a.point = c.head()
 		}
 	}
 	// What was put aside must not come back under a name that is used anew.
@@ -209,7 +209,7 @@
 	return a.vow
 }
 
-// Point gives the newest checkpoint, or nil.
+// Point gives the newest checkpoint without its state, or nil.
 func (a *Acceptor) Point() *Checkpoint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/paxos/chain.go
+++ b/internal/paxos/chain.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"fmt"
 
+	"puffincrank/internal/ballot"
 	"puffincrank/internal/disk"
 )
 
@@ -69,7 +69,7 @@
 // write keeps a checkpoint; big is held.
 func (a *Acceptor) write(c Checkpoint, spare uint64) error {
 	c.Format = Format
-	name := fmt.Sprintf("c-%016x", c.Slot)
+	name := checkpointName(c.Slot)
 	if err := a.save(name, &c); err != nil {
 		// Room was kept free for just this: give it back and try once more.
 		if !disk.Full(err) || a.fs.Remove(reserve) != nil {
@@ -84,10 +84,10 @@
 	}
 	a.mu.Lock()
 	old := a.point
-	a.point = &c
+	a.point = c.head()
 	var drop []string
 	if old != nil && old.Slot != c.Slot {
-		drop = append(drop, fmt.Sprintf("c-%016x", old.Slot))
+		drop = append(drop, checkpointName(old.Slot))
 	}
 	if c.Slot > spare {
 		drop = append(drop, a.trim(c.Slot-spare)...)
@@ -101,7 +101,7 @@
 func (a *Acceptor) trim(to uint64) (files []string) {
 	for s := range a.entries {
 		if s <= to {
-			files = append(files, fmt.Sprintf("v-%016x", s))
+			files = append(files, entryName(s))
 			delete(a.entries, s)
 			delete(a.sums, s)
 		}
@@ -152,11 +152,30 @@
 	return nil
 }
 
-// Wipe empties the folder: a replica that lost its place starts anew.
-func (a *Acceptor) Wipe() {
+// Rename gives the replica a new identity: what it promised and accepted under
+// the old one is forgotten, what is chosen up to a slot is kept. The new identity
+// is durable before anything is forgotten, so a loss of power in between leaves
+// an identity that never voted with promises that bind it more than they need.
+func (a *Acceptor) Rename(id Identity, chosen uint64) error {
 	a.big.Lock()
 	defer a.big.Unlock()
+	if err := a.Name(id); err != nil {
+		return err
+	}
 	a.io.Lock()
 	defer a.io.Unlock()
-	a.clear()
+	a.mu.Lock()
+	var files []string
+	for slot := range a.entries {
+		if slot > chosen {
+			files = append(files, entryName(slot))
+			delete(a.entries, slot)
+			delete(a.sums, slot)
+		}
+	}
+	a.vow, a.harmed = ballot.Number{}, 0
+	a.mu.Unlock()
+	promises, err := disk.Names(a.fs, promisePrefix)
+	a.drop(append(files, promises...))
+	return err
 }
--- a/internal/paxos/keep.go
+++ b/internal/paxos/keep.go
@@ -9,6 +9,15 @@
 	"puffincrank/internal/fault"
 )
 
+// promisePrefix begins the names of the files of promises.
+const promisePrefix = "p-"
+
+// promiseName is the file of the promise of a round.
+func promiseName(round uint64) string { return fmt.Sprintf("%s%016x", promisePrefix, round) }
+
+// entryName is the file of a log entry.
+func entryName(slot uint64) string { return fmt.Sprintf("v-%016x", slot) }
+
 // Promise keeps a ballot number; the file of the one before goes away. One
 // below a promise that an accepted version made meanwhile is refused as stale.
 func (a *Acceptor) Promise(n ballot.Number) error {
@@ -21,7 +30,7 @@
 	if vow := a.Vow(); n.Less(vow) {
 		return fault.New(fault.Stale, "ballot %s is below the promise %s", n, vow)
 	}
-	if err := a.save(fmt.Sprintf("p-%016x", n.Round), &n); err != nil {
+	if err := a.save(promiseName(n.Round), &n); err != nil {
 		return err
 	}
 	a.mu.Lock()
@@ -29,7 +38,7 @@
 	a.vow = n
 	a.mu.Unlock()
 	if old.Round != n.Round {
-		_ = a.fs.Remove(fmt.Sprintf("p-%016x", old.Round))
+		_ = a.fs.Remove(promiseName(old.Round))
 	}
 	return nil
 }
@@ -66,7 +75,7 @@
 	if old == nil {
 		save = disk.Add
 	}
-	if err := a.saveBy(save, fmt.Sprintf("v-%016x", e.Slot), &e); err != nil {
+	if err := a.saveBy(save, entryName(e.Slot), &e); err != nil {
 		return err
 	}
 	a.mu.Lock()
--- a/internal/props/changed.go
+++ b/internal/props/changed.go
@@ -10,7 +10,7 @@
 		"catch_up_ms": p.CatchUp, "touch_ms": p.Touch, "ack_ms": p.Ack, "back_ms": p.Back, "free_ms": p.Free, "silence_ms": p.Silence,
 		"beat_ms": p.Told, "body_bytes": p.Body, "frame_bytes": p.Frame, "jobs": p.Jobs, "founding": p.Founding, "bear": p.Bear,
 		"bear_areas": p.BearAreas, "bear_regions": p.BearRegions, "region": p.Region,
-		"memory_bytes": p.Memory, "files": p.Files, "service": p.Service, "worker_addr": p.Worker, "ready": p.Ready,
+		"memory_bytes": p.Memory, "files": p.Files, "disk_bytes": p.Disk, "state_bytes": p.State, "service": p.Service, "worker_addr": p.Worker, "ready": p.Ready,
 		"repeat_share": p.RepeatShare, "repeat_allowance": p.RepeatAllowance}
 }
 
--- a/internal/props/parts.go
+++ b/internal/props/parts.go
@@ -104,6 +104,32 @@
 // SlowSync is the sync time over which a writer gives up its duty.
 func (p Props) SlowSync() time.Duration { return p.Pace() / 8 }
 
+// The bound on the replicated state where neither memory nor disk is told, and the
+// part of either that it may take where they are: a process that installs a
+// snapshot holds it packed, opened and packed again for the disk, and a disk holds
+// the old one, the new one and the room kept free for the next.
+const (
+	stateBytesUntold = 64 << 20
+	statePart        = 8
+)
+
+// StateBytes bounds the replicated state, in bytes.
+func (p Props) StateBytes() int {
+	if p.State > 0 {
+		return p.State
+	}
+	bound := 0
+	for _, told := range []int{p.Memory, p.Disk} {
+		if told > 0 && (bound == 0 || told/statePart < bound) {
+			bound = told / statePart
+		}
+	}
+	if bound == 0 {
+		return stateBytesUntold
+	}
+	return bound
+}
+
 // derive fills in the bounds that follow from others when they were not given.
 func (p *Props) derive() {
 	if p.Touch == 0 {
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -34,6 +34,8 @@
 	BearAreas, BearRegions int    // areas, or regions, that may be lost at once
 	Region                 string // of the area, if told
 	Memory, Files          int    // bytes and descriptors of this process; 0 when not told
+	Disk                   int    // bytes of the disk; 0 when not told
+	State                  int    // bytes that the replicated state may have; 0 when it follows from memory and disk
 	Service, Worker        string // the service and address of the worker beside this node, if told
 	Ready                  string // a further address where readiness is told
 	RepeatShare            float64
@@ -54,6 +56,7 @@
 		CatchUp: ms("catch_up_ms"), Touch: ms("touch_ms"), Ack: ms("ack_ms"), Back: ms("back_ms"), Free: ms("free_ms"), Silence: ms("silence_ms"), Told: ms("beat_ms"),
 		Body: int(v.Count("body_bytes")), Frame: int(v.Count("frame_bytes")), Jobs: int(v.Count("jobs")),
 		Founding: v.Flag("founding"), Bear: int(v.Count("bear")), BearAreas: int(v.Count("bear_areas")), BearRegions: int(v.Count("bear_regions")), Region: v.Text("region"), Memory: int(v.Count("memory_bytes")), Files: int(v.Count("files")),
+		Disk: int(v.Count("disk_bytes")), State: int(v.Count("state_bytes")),
 		Service: v.Text("service"), Worker: v.Text("worker_addr"), Ready: v.Text("ready"),
 		RepeatShare: v.Share("repeat_share"), RepeatAllowance: int(v.Count("repeat_allowance"))}
 	p.derive()
--- a/internal/props/rows.go
+++ b/internal/props/rows.go
@@ -86,6 +86,8 @@
 	"store": {Name: "store", Rows: within(false,
 		settings.Setting{Name: "seeds", Type: settings.Addrs, Must: true, Check: some, Rule: "1 to 9 addresses", Help: "inner addresses of stores; at the founding all of them are empty"},
 		settings.Setting{Name: "data", Type: settings.Text, Must: true, Rule: "a folder", Help: "the data folder"},
+		settings.Setting{Name: "disk_bytes", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1<<50), Rule: "0 or more; 0 when not told", Help: "room that the data folder has"},
+		settings.Setting{Name: "state_bytes", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1<<30), Rule: "0 to 1 GiB; 0: an eighth of memory_bytes or of disk_bytes, whichever is less, or 64 MiB", Help: "bound on the replicated state; changes that would make it larger are refused, undone"},
 		settings.Setting{Name: "founding", Type: settings.Flag, Def: true, Rule: "true or false", Help: "whether an empty store may found a mesh; without it, it only joins one"},
 		settings.Setting{Name: "bear", Type: settings.Count, Def: int64(1), Check: settings.In(0, 100), Rule: "0 to 100", Help: "stores that may be lost at once; twice as many and one vote"},
 		settings.Setting{Name: "bear_areas", Type: settings.Count, Def: int64(0), Check: settings.In(0, 100), Rule: "0 to 100", Help: "areas that may be lost at once, with all their stores"},
--- /dev/null
+++ b/internal/sim/largestate_test.go
@@ -0,0 +1,213 @@
+package sim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/event"
+)
+
+// fillState writes keys of 60 kB each until the state has about so many bytes,
+// and gives what was acknowledged.
+func (l *lab) fillState(bytes int) map[string]uint64 {
+	const size = 60 << 10
+	value := strings.Repeat("x", size)
+	out := map[string]uint64{}
+	for i := range bytes / size {
+		key := fmt.Sprint("large", i)
+		at := l.Cores[i%3]
+		for range 10 {
+			if rev := l.put(at, key, key+value[len(key):]); rev > 0 {
+				out[key] = rev
+				break
+			}
+			Wait(50 * time.Millisecond)
+		}
+	}
+	if len(out) < bytes/size {
+		l.T.Fatalf("%d of %d large keys were taken", len(out), bytes/size)
+	}
+	return out
+}
+
+// keepWriting writes a small key every so often until it is stopped, and tells
+// how many were acknowledged and the longest time that one took.
+func (l *lab) keepWriting(every time.Duration) (stop func() (acknowledged int, slowest time.Duration)) {
+	ctx, end := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	n, slowest := 0, time.Duration(0)
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		for i := 0; ctx.Err() == nil; i++ {
+			Wait(every)
+			at := l.Cores[i%len(l.Cores)]
+			if at.Registry == nil {
+				continue
+			}
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				from := time.Now()
+				if l.put(at, fmt.Sprint("small", i%100), "v") > 0 {
+					mu.Lock()
+					n++
+					slowest = max(slowest, time.Since(from))
+					mu.Unlock()
+				}
+			}()
+		}
+	}()
+	return func() (int, time.Duration) {
+		end()
+		wait.Wait()
+		return n, slowest
+	}
+}
+
+// holdsLarge fails the test if a large key has not the revision that was
+// acknowledged.
+func (l *lab) holdsLarge(at *Core, all map[string]uint64) {
+	l.T.Helper()
+	for key, rev := range all {
+		code, got := l.Get(at.Host+":7003", "/puffin/keys/"+key+"?left_ms=3000")
+		value, _ := got["value"].(string)
+		if code != 200 || got["rev"] != float64(rev) || !strings.HasPrefix(value, key) {
+			l.T.Fatalf("%s: %d, revision %v, was acknowledged with %d", key, code, got["rev"], rev)
+		}
+	}
+}
+
+// isMember tells whether a machine's store has a place and has applied nearly all.
+func (l *lab) isMember(c *Core, leader *Core) bool {
+	_, mine := l.Get(c.Host+":7004", "/puffin/ready")
+	_, its := l.Get(leader.Host+":7004", "/puffin/ready")
+	a, _ := mine["version_slot"].(float64)
+	b, _ := its["version_slot"].(float64)
+	return mine["role"] == "follow" && l.places()[c.Host] && a > 0 && a+300 >= b
+}
+
+// TestLargeStateRefilled: a state larger than any message is fetched in chunks by
+// a member whose disk was lost, while 200 writes a second go on; over thin links,
+// with five members, and with the sender killed in the middle. Then the others'
+// disks may go as well.
+func TestLargeStateRefilled(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name       string
+		cores, mib int
+		rate       int // bytes a second on every link, 0 for any
+		kill       bool
+		within     time.Duration
+	}{
+		{"three, 1 MiB", 3, 1, 0, false, 4 * time.Second},
+		{"three, 20 MiB", 3, 20, 0, false, 20 * time.Second},
+		{"five, 10 MiB", 5, 10, 0, false, 20 * time.Second},
+		{"three, 10 MiB, thin links", 3, 10, 1 << 20, false, 60 * time.Second},
+		{"five, 10 MiB, the sender is killed", 5, 10, 0, true, 30 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				l := newLab(t, 870, c.cores, (c.cores-1)/2)
+				l.Stores["state_bytes"] = json.Number(fmt.Sprint(64 << 20))
+				defer l.Stop()
+				l.up()
+				l.Until(4*time.Second, "all places are taken", func() bool { return len(l.places()) == c.cores })
+				l.Stores["founding"] = false
+				all := l.fillState(c.mib << 20)
+				for _, o := range l.Cores {
+					if c.rate > 0 {
+						l.Net.Thin(o.Host, c.rate)
+					}
+				}
+				leader := l.Writer()
+				lost := l.Cores[slices.IndexFunc(l.Cores, func(c *Core) bool { return c != leader })]
+				stop := l.keepWriting(5 * time.Millisecond)
+				Wait(time.Second)
+				l.KillCore(lost, true)
+				lost.Disk.Wipe()
+				Wait(300 * time.Millisecond)
+				from := time.Now()
+				l.BackCore(lost)
+				if c.kill {
+					Wait(60 * time.Millisecond)
+					l.KillCore(leader, true)
+					Wait(500 * time.Millisecond)
+					l.BackCore(leader)
+				}
+				l.Until(c.within, "the emptied member has a place and is whole", func() bool {
+					w := l.Writer()
+					return w != nil && l.isMember(lost, w)
+				})
+				took := time.Since(from)
+				n, slowest := stop()
+				t.Logf("whole after %v; %d writes meanwhile, the slowest took %v", took.Round(time.Millisecond), n, slowest.Round(time.Millisecond))
+				if n < 50 {
+					t.Errorf("only %d writes went through meanwhile", n)
+				}
+				for _, o := range l.Cores {
+					if o != lost && o.Store != nil && bearOf(c.cores) == 1 {
+						l.KillCore(o, true)
+						o.Disk.Wipe()
+						break
+					}
+				}
+				l.next(8 * time.Second)
+				l.holdsLarge(lost, all)
+			})
+		})
+	}
+}
+
+// TestStateBounded: beyond the bound on the state a change that would make it
+// larger is refused, undone and named; what frees room, orders that keep the core
+// going, renewals and reads are served, and operators were warned before.
+func TestStateBounded(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		l := newLab(t, 880, 3, 1)
+		l.Stores["state_bytes"] = json.Number(fmt.Sprint(1 << 20))
+		defer l.Stop()
+		l.up()
+		value := strings.Repeat("y", 60<<10)
+		taken, refused := 0, 0
+		for i := range 30 {
+			code, got := l.Ask("PUT", l.Cores[i%3].Host+":7003", fmt.Sprintf("/puffin/keys/k%d?left_ms=1000", i), fmt.Sprintf(`{"value":%q}`, value))
+			switch {
+			case code == 200 && refused == 0:
+				taken++
+			case code == 503:
+				refused++
+				if warned := l.count(event.StateLarge); warned == 0 {
+					t.Error("refused without a warning before")
+				}
+			default:
+				t.Errorf("key %d: %d %v", i, code, got)
+			}
+		}
+		if taken < 5 || refused < 5 {
+			t.Fatalf("%d were taken and %d refused", taken, refused)
+		}
+		at := l.Cores[0].Host + ":7003"
+		if code, _ := l.Ask("DELETE", at, "/puffin/keys/k0", ""); code != 200 {
+			t.Errorf("a delete: %d", code)
+		}
+		if code, _ := l.Get(at, "/puffin/keys/k1"); code != 200 {
+			t.Errorf("a read: %d", code)
+		}
+		for i := range 3 {
+			l.Ask("DELETE", at, fmt.Sprintf("/puffin/keys/k%d", i+1), "")
+		}
+		// History goes after its time, and makes room.
+		l.Until(60*time.Second, "there is room again", func() bool { return l.put(l.Cores[0], "small", "v") > 0 })
+	})
+}
--- a/internal/store/clocks.go
+++ b/internal/store/clocks.go
@@ -35,6 +35,8 @@
 		s.locks[n] = clock{l.Fence, l.Renew, now.Add(drift(time.Duration(l.TTL) * time.Millisecond))}
 	}
 	s.past = []mark{{now, s.led.Rev, s.led.Given()}}
+	s.requestMarks = nil
+	s.markRequests(now)
 }
 
 // clock notes what a version did to locks and histories; mu is held.
@@ -58,9 +60,15 @@
 			delete(s.locks, c.Name)
 		}
 	}
+	s.markPast(now)
+}
+
+// markPast notes from time to time which revisions stand; mu is held.
+func (s *Store) markPast(now time.Time) {
 	if now.Sub(s.past[len(s.past)-1].at) >= s.P.Lease() {
 		s.past = append(s.past, mark{now, s.led.Rev, s.led.Given()})
 	}
+	s.markRequests(now)
 }
 
 // over gives the end of a lock whose time has run out; nil while it has not.
@@ -100,6 +108,7 @@
 // History is kept for a fifth longer than its bound, and puts longer still,
 // since they also tell one that is sent again. mu is held.
 func (s *Store) trims(now time.Time) map[string]ledger.Command {
+	s.markPast(now)
 	keep, long := s.P.History+s.P.History/5, s.P.History+s.P.History*3/5
 	out := map[string]ledger.Command{}
 	n := 0
@@ -122,5 +131,8 @@
 	if to >= s.led.Oldest {
 		out["history.trim"] = &ledger.TrimPast{To: to}
 	}
+	if c := s.trimRequests(now); c != nil {
+		out["request.trim"] = c
+	}
 	return out
 }
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -19,7 +19,7 @@
 	s.succeeds(in.ID, in.Addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	got := foundGot{Empty: s.led == nil, ID: s.acc.Me().ID, Head: s.head, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region}
+	got := foundGot{Empty: s.led == nil, ID: s.acc.Me().ID, Head: s.head, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
 	if s.led != nil {
 		got.Mesh, got.Members = s.led.Mesh, s.led.Members
 	}
@@ -47,7 +47,7 @@
 		return nil
 	}
 	led := ledger.New(in.Mesh, in.Members)
-	led.Want = in.Want
+	led.Want, led.Level = in.Want, min(in.Level, ledger.Level)
 	raw, err := led.Pack()
 	if err != nil {
 		return err
@@ -90,11 +90,12 @@
 // from each other.
 func (s *Store) found(ctx context.Context, all []foundGot, addrs []string) {
 	least := ""
-	in := genesis{Mesh: s.P.Mesh + "/" + fresh(), Want: s.P.Voters()}
+	in := genesis{Mesh: s.P.Mesh + "/" + fresh(), Want: s.P.Voters(), Level: ledger.Level}
 	for i, got := range all {
 		if !got.Never && (least == "" || addrs[i] < least) {
 			least = addrs[i]
 		}
+		in.Level = min(in.Level, got.Knows)
 		in.Members = append(in.Members, ledger.Member{ID: got.ID, Addr: addrs[i], Area: got.Area, Land: got.Land})
 	}
 	if least != s.P.Inner {
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -48,22 +48,16 @@
 		known[a] = true
 	}
 	s.mu.Lock()
-	bare, was := s.led == nil, len(s.were) > 0
+	bare := s.led == nil
 	if !bare {
 		for _, m := range s.led.Members {
 			if !known[m.Addr] {
 				who = append(who, m.Addr)
 			}
 		}
-	} else {
-		// One that lost its place still knows whom it was with: the seeds may
-		// all be gone since.
-		for _, a := range append([]string{s.head}, s.were...) {
-			if a != "" && !known[a] {
-				known[a] = true
-				who = append(who, a)
-			}
-		}
+	} else if s.head != "" && !known[s.head] {
+		// A leader that took this empty store for the member that it was.
+		who = append(who, s.head)
 	}
 	s.mu.Unlock()
 	var empty []foundGot
@@ -72,7 +66,7 @@
 	by := ""
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
 		if to == s.P.Inner {
-			return foundGot{Empty: true, ID: s.acc.Me().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region}, nil
+			return foundGot{Empty: true, ID: s.acc.Me().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}, nil
 		}
 		return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Me().ID, s.P.Inner})
 	}, func(to string, got foundGot, err error) bool {
@@ -88,8 +82,8 @@
 	})
 	if by != "" {
 		s.join(ctx, from, by)
-	} else if bare && !was && len(empty) == len(s.P.Seeds) && len(who) == len(s.P.Seeds) {
-		// Only the seeds themselves found, and never one that was in a mesh.
+	} else if bare && len(empty) == len(s.P.Seeds) && len(who) == len(s.P.Seeds) {
+		// Only the seeds themselves found. One that was in a mesh holds its state.
 		s.found(ctx, empty, at)
 	}
 }
@@ -150,26 +144,27 @@
 	return true
 }
 
-// outcast makes a replica that lost its place empty again, under a new
-// identity: its old votes are worth nothing and must not come back.
+// outcast takes up a new identity when this replica has lost its place: what it
+// promised and accepted as a member must not come back. What it has applied is
+// kept, on the disk too, so that its copy is still there should the others lose
+// theirs right now, and so that it only fetches what it lacks.
 func (s *Store) outcast() error {
 	s.learn.Lock()
 	defer s.learn.Unlock()
-	s.acc.Wipe()
-	if err := s.acc.Name(paxos.Identity{ID: fresh()}); err != nil {
+	s.mu.Lock()
+	chosen, clusterID := s.slot, s.led.Mesh
+	s.mu.Unlock()
+	err := s.keep(func() error { return s.acc.Rename(paxos.Identity{ID: fresh(), Mesh: clusterID}, chosen) })
+	if err != nil {
 		return err
 	}
 	s.vote.Reset()
 	s.mu.Lock()
-	if s.led != nil {
-		for _, m := range s.led.Members {
-			s.were = append(s.were, m.Addr)
-		}
-	}
-	s.led, s.slot, s.sum = nil, 0, nil
+	s.head = ""
 	s.ill, s.tired = false, time.Time{}
 	s.mu.Unlock()
 	s.role.Fire("outcast")
+	s.placed()
 	s.kick(false)
 	return nil
 }
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -10,13 +10,29 @@
 	"puffincrank/internal/wire"
 )
 
-// The ratio of files to checkpoints: how many versions lie between two, and
-// how many older ones are kept for slow fellows.
+// How many entries lie between two checkpoints at the least, and how many older
+// ones are kept for slow members. Checkpoints are taken at slots that are
+// multiples of span, so that those of different members are equal byte for byte.
 const (
 	span  = 256
 	older = 256
 )
 
+// checkpointBytes is how many bytes of entries lie between two checkpoints of a
+// large state at the least, as a part of its size, and spanMost how many entries
+// at the most: writing a checkpoint costs its whole size.
+const (
+	checkpointBytes = 2
+	spanMost        = 16 * span
+)
+
+// logPart is the part of the bound on the state that the log may have before a
+// checkpoint is written at a multiple of spanOfLarge, whatever its count.
+const (
+	logPart     = 2
+	spanOfLarge = 8
+)
+
 // learnLater extends the applied state to a slot that is known to be chosen.
 // One learner at a time is enough; the next beat brings the rest.
 func (s *Store) learnLater(slot uint64, sum []byte, from string) {
@@ -44,7 +60,6 @@
 				return
 			}
 		}
-		s.checkpoint()
 		return
 	}
 	ctx, end := context.WithTimeout(ctx, s.P.Change)
@@ -59,6 +74,7 @@
 		s.e.Log.Emit(event.Foreign, "slot", e.Slot, "why", err.Error())
 		return false
 	}
+	s.checkpoint()
 	return true
 }
 
@@ -66,7 +82,7 @@
 func (s *Store) catchUp(ctx context.Context, from string, to uint64) error {
 	for first := true; ; first = false {
 		s.mu.Lock()
-		ask := fetchAsk{After: s.slot, Prev: s.sum}
+		ask := fetchAsk{After: s.slot, Prev: s.sum, Chunks: true}
 		none := s.led == nil
 		s.mu.Unlock()
 		if none {
@@ -81,6 +97,11 @@
 				return err
 			}
 		}
+		if got.Head != nil {
+			if err := s.fetchSnapshot(s.g.Context(), from, *got.Head); err != nil {
+				return err
+			}
+		}
 		for i := range got.Entries {
 			e := &got.Entries[i]
 			if e.Slot != s.slot+1 || !bytes.Equal(e.Prev, s.sum) {
@@ -96,46 +117,71 @@
 		if n := len(got.Entries); n > 0 {
 			s.e.Log.Emit(event.Mended, "from", from, "versions", n, "slot", s.slot)
 		}
-		s.checkpoint()
 		if s.slot >= got.Top || s.slot >= to && to > 0 || (len(got.Entries) == 0 && !first) {
 			return nil
 		}
 	}
 }
 
-// onFetch hands out what is applied here: versions while they are kept, a
-// checkpoint otherwise.
+// onFetch hands out what is applied here: entries while they are kept, a
+// snapshot otherwise.
 func (s *Store) onFetch(_ context.Context, _ wire.Hello, in fetchAsk) (fetchGot, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.led == nil {
+		s.mu.Unlock()
 		return fetchGot{}, fault.New(fault.Refused, "empty")
 	}
 	got := fetchGot{Top: s.slot}
-	if in.Prev != nil && in.After >= s.slot {
+	known := in.Prev != nil && in.After >= s.slot
+	if !known {
+		got.Entries = s.entriesAfter(in)
+	}
+	large := s.upperSize() > snapshotChunk
+	s.mu.Unlock()
+	if known || len(got.Entries) > 0 {
 		return got, nil
 	}
-	if in.Prev != nil && s.acc.Whole(in.After) {
-		size := 0
-		for _, e := range s.acc.After(in.After, int(s.slot-in.After)) {
-			size += len(e.Batch)
-			if e.Slot > s.slot || size > s.P.Frame/4 || len(got.Entries) >= 128 {
-				break
-			}
-			got.Entries = append(got.Entries, e)
-		}
-		// A row with a hole, or that doesn't follow the asker's, is no use.
-		if len(got.Entries) > 0 && got.Entries[0].Slot == in.After+1 && bytes.Equal(got.Entries[0].Prev, in.Prev) && rowed(got.Entries) {
-			return got, nil
-		}
-		got.Entries = nil
+	after := in.After
+	if in.Prev == nil {
+		after = 0
 	}
-	raw, err := s.led.Pack()
-	if err != nil {
+	if large && in.Chunks {
+		head, err := s.announce(after)
+		got.Head = head
 		return got, err
 	}
-	got.Point = &paxos.Checkpoint{Slot: s.slot, Sum: s.sum, State: raw}
-	return got, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	point, err := s.packState()
+	got.Point = point
+	return got, err
+}
+
+// The bounds on the entries that one answer brings, in count and as a part of a
+// frame. One is always sent.
+const (
+	fetchEntries   = 128
+	fetchFrameRate = 4
+)
+
+// entriesAfter gives the applied entries that follow what the asker has, none if
+// they are not all kept, or the asker's newest is not ours. mu is held.
+func (s *Store) entriesAfter(in fetchAsk) (out []paxos.Entry) {
+	if in.Prev == nil || !s.acc.Whole(in.After) {
+		return nil
+	}
+	size := 0
+	for _, e := range s.acc.After(in.After, min(fetchEntries, int(s.slot-in.After))) {
+		size += len(e.Batch)
+		if e.Slot > s.slot || len(out) > 0 && size > s.P.Frame/fetchFrameRate {
+			break
+		}
+		out = append(out, e)
+	}
+	if len(out) == 0 || out[0].Slot != in.After+1 || !bytes.Equal(out[0].Prev, in.Prev) || !rowed(out) {
+		return nil
+	}
+	return out
 }
 
 // rowed tells whether each version follows the one before.
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -24,6 +24,7 @@
 	Out     bool          `msgpack:"o"` // the asker is no member
 	Slot    uint64        `msgpack:"t"`
 	Entries []paxos.Entry `msgpack:"e"`
+	More    bool          `msgpack:"r,omitempty"` // entries were accepted beyond those
 }
 
 type acceptAsk struct {
@@ -49,16 +50,20 @@
 	Ill   bool          `msgpack:"l"`
 	Slot  uint64        `msgpack:"t"`
 	Knows int           `msgpack:"k,omitempty"` // the level of commands that it understands
+	Held  bool          `msgpack:"h,omitempty"` // the others hold all that a leaving member has
 }
 
 type fetchAsk struct {
 	After uint64 `msgpack:"a"`
 	Prev  []byte `msgpack:"p"`
+	// Chunks tells that the asker can fetch a snapshot in chunks.
+	Chunks bool `msgpack:"k,omitempty"`
 }
 
 type fetchGot struct {
 	Entries []paxos.Entry     `msgpack:"e"`
-	Point   *paxos.Checkpoint `msgpack:"c"`
+	Point   *paxos.Checkpoint `msgpack:"c"` // a snapshot that fits a message
+	Head    *snapshotHead     `msgpack:"h,omitempty"`
 	Top     uint64            `msgpack:"t"`
 }
 
@@ -76,12 +81,14 @@
 	Never   bool            `msgpack:"n,omitempty"` // it may not found a mesh
 	Area    string          `msgpack:"z,omitempty"`
 	Land    string          `msgpack:"l,omitempty"`
+	Knows   int             `msgpack:"k,omitempty"` // the level of commands that it understands
 }
 
 type genesis struct {
 	Mesh    string          `msgpack:"m"`
 	Members []ledger.Member `msgpack:"b"`
 	Want    int             `msgpack:"w,omitempty"`
+	Level   int             `msgpack:"k,omitempty"` // of commands, that all members understand
 }
 
 type joinAsk struct {
@@ -105,11 +112,15 @@
 // leaveAsk is a member's word that it stops: another may have its place.
 type leaveAsk struct {
 	ID string `msgpack:"i"`
+	// Keeps tells that the member keeps its place, and asks whether the others
+	// hold all that it has.
+	Keeps bool `msgpack:"k,omitempty"`
 }
 
 // RemoveAsk is an operator's word to take a store out.
 type RemoveAsk struct {
-	ID string `msgpack:"i"`
+	ID   string      `msgpack:"i"`
+	Once *RequestKey `msgpack:"o,omitempty"`
 }
 
 type vacateAsk struct {
@@ -122,6 +133,15 @@
 	// Rest is how long before the call's own end the command may last be
 	// proposed, in ms; 0: until the end.
 	Rest int64 `msgpack:"r,omitempty"`
+	// Once names the request of an operator that the command is for.
+	Once *RequestKey `msgpack:"o,omitempty"`
+}
+
+// RequestKey identifies a request that its sender may send again.
+type RequestKey struct {
+	ID     string `msgpack:"i"`
+	Digest []byte `msgpack:"d"`           // of the content sent under the id
+	Number uint64 `msgpack:"n,omitempty"` // the operator's own number of a configuration
 }
 
 // Given is the writer's word on an offer or a read; Head is set when another
@@ -175,6 +195,6 @@
 // Messages lists every message of this package, for the check that a later
 // version still speaks all that the last one did.
 func Messages() []any {
-	return []any{ballotAsk{}, ballotVote{}, acceptAsk{}, beatAsk{}, ack{}, fetchAsk{}, fetchGot{}, foundAsk{}, foundGot{},
+	return []any{ballotAsk{}, ballotVote{}, acceptAsk{}, beatAsk{}, ack{}, fetchAsk{}, fetchGot{}, chunkAsk{}, chunkGot{}, foundAsk{}, foundGot{},
 		genesis{}, RemoveAsk{}, joinAsk{}, joinGot{}, vacateAsk{}, leaveAsk{}, Offer{}, Given{}, Query{}, leftAsk{}, leftGot{}, DutyAsk{}, DutyVote{}, Status{}}
 }
--- a/internal/store/missing.go
+++ b/internal/store/missing.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return g, fault.Wrap(fault.Refused, err, "remove")
 	}
-	g.Receipt, err = t.offer(ctx, p)
+	g.Receipt, err = t.offerGuarded(ctx, p, in.Once, t.heldByMajority(without(g.Members, in.ID)))
 	return g, err
 }
 
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -79,25 +79,6 @@
 	return pick
 }
 
-// covered tells whether those who would vote hold, by a majority, all that the
-// one who goes may have acknowledged with a few others; mu is held.
-func (t *term) covered(all []ledger.Member, old string, joiner, slot uint64) bool {
-	holds, upto := 0, min(t.heard[old].mine, slot)
-	for _, m := range all {
-		has := t.heard[m.ID].slot
-		switch m.ID {
-		case old:
-			has = joiner
-		case t.s.acc.Me().ID:
-			has = slot
-		}
-		if has >= upto {
-			holds++
-		}
-	}
-	return holds > len(all)/2
-}
-
 // touch counts the members that were heard lately, without one; mu is held.
 func (t *term) touch(all []ledger.Member, without string) (n int) {
 	for _, m := range all {
@@ -111,6 +92,9 @@
 // place says what may become of a stand-by now: the member whose place it
 // takes, or a free place; say tells why neither.
 func (t *term) place(in joinAsk, all []ledger.Member, want int, slot uint64) (old string, free bool, say string) {
+	if in.Knows < t.s.level() {
+		return "", false, "its program is too old for the commands in use"
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if in.Slot+near < slot {
@@ -140,8 +124,6 @@
 	switch {
 	case old == "" && !free:
 		return "", false, "stands by: no place is free, and no member is out of touch for long enough"
-	case old != "" && !t.covered(all, old, in.Slot, slot):
-		return "", false, "the others do not hold yet all that the lost one may have"
 	}
 	if pick := t.best(all, old, steady); steady > 0 || free {
 		if pick == nil || pick.m.ID != in.ID {
@@ -190,6 +172,13 @@
 	return joinGot{Done: r.Code == ledger.OK, Say: r.Say, Slot: slot}, nil
 }
 
+// level is that of the commands in use.
+func (s *Store) level() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.led.Level
+}
+
 func (s *Store) members() (all []ledger.Member, want int, slot uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,7 +197,7 @@
 	if err != nil {
 		return ledger.Receipt{}, err
 	}
-	r, err := t.offer(ctx, p)
+	r, err := t.offerGuarded(ctx, p, nil, t.heldByMajority(withReplaced(all, old, m)))
 	if err == nil && r.Code == ledger.OK {
 		for _, o := range all {
 			if o.ID == old && o.Addr != m.Addr {
--- a/internal/store/queue.go
+++ b/internal/store/queue.go
@@ -14,8 +14,12 @@
 	cmd  ledger.Packed
 	in   ledger.Command // the same, opened
 	by   time.Time      // when it may last be proposed; zero: at any time
-	back chan done
-	mine atomic.Bool // whoever sets it first, the writer loop or the waiter, has the offer
+	once *RequestKey    // set for a request that may be sent again
+	// guard, if set, must hold at the moment of the proposal, with nothing decided
+	// in between. An offer without a command only asks for that.
+	guard func(context.Context) bool
+	back  chan done
+	mine  atomic.Bool // whoever sets it first, the writer loop or the waiter, has the offer
 }
 
 type done struct {
@@ -25,11 +29,22 @@
 
 // offer proposes a command of this store's own.
 func (t *term) offer(ctx context.Context, p ledger.Packed) (ledger.Receipt, error) {
+	return t.offerOnce(ctx, p, nil)
+}
+
+// offerOnce proposes a command of this store's own for a request that may come
+// again; without a key it is an ordinary command.
+func (t *term) offerOnce(ctx context.Context, p ledger.Packed, once *RequestKey) (ledger.Receipt, error) {
+	return t.offerGuarded(ctx, p, once, nil)
+}
+
+// offerGuarded proposes a command of this store's own if its guard holds.
+func (t *term) offerGuarded(ctx context.Context, p ledger.Packed, once *RequestKey, guard func(context.Context) bool) (ledger.Receipt, error) {
 	in, err := p.Open()
 	if err != nil {
 		return ledger.Receipt{}, fault.Wrap(fault.Refused, err, "offer")
 	}
-	return t.put(ctx, &offer{cmd: p, in: in, back: make(chan done, 1)})
+	return t.put(ctx, &offer{cmd: p, in: in, once: once, guard: guard, back: make(chan done, 1)})
 }
 
 // put queues an offer and waits for what became of it.
@@ -66,18 +81,29 @@
 // write is the loop that turns waiting commands into versions. While one
 // version syncs, the next batch forms.
 func (t *term) write(ctx context.Context) {
+	var next *offer
 	for {
 		var batch []*offer
-		select {
-		case <-ctx.Done():
-			return
-		case o := <-t.queue:
-			batch = append(batch, o)
+		if next != nil {
+			batch, next = append(batch, next), nil
+		} else {
+			select {
+			case <-ctx.Done():
+				return
+			case o := <-t.queue:
+				batch = append(batch, o)
+			}
 		}
 		size := len(batch[0].cmd.Body)
-		for more := true; more && len(batch) < 256 && size < t.s.P.Frame/8; {
+		for more := batch[0].guard == nil; more && len(batch) < 256 && size < t.s.P.Frame/8; {
 			select {
 			case o := <-t.queue:
+				if o.guard != nil {
+					// It goes by itself, after those that came before it.
+					next = o
+					more = false
+					continue
+				}
 				batch = append(batch, o)
 				size += len(o.cmd.Body)
 			default:
@@ -109,15 +135,33 @@
 	return out
 }
 
+// guarded gives the offers whose guard holds now, and answers the others, and those
+// that only asked. learn is held.
+func (t *term) guarded(ctx context.Context, batch []*offer) (out []*offer) {
+	for _, o := range batch {
+		held := o.guard == nil || o.guard(ctx)
+		switch {
+		case !held:
+			o.back <- done{r: ledger.Receipt{Code: ledger.Conflict, Say: "too few of the others hold all that is chosen"}}
+		case o.in == nil:
+			o.back <- done{r: ledger.Receipt{Code: ledger.OK}}
+		default:
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 func (t *term) batch(ctx context.Context, all []*offer) bool {
 	t.s.learn.Lock()
-	batch := pick(all)
-	if len(batch) == 0 {
+	batch := t.s.withinSize(t.guarded(ctx, pick(all)))
+	t.shorten(batch)
+	t.s.wrapRequests(batch)
+	cmds, mine := t.s.plain(batch)
+	if len(cmds) == 0 {
 		t.s.learn.Unlock()
 		return true
 	}
-	t.shorten(batch)
-	cmds, mine := t.s.plain(batch)
 	raw, err := cmds.Pack()
 	var out []ledger.Receipt
 	if err == nil {
@@ -138,5 +182,5 @@
 		t.s.depose("a version could not be decided: " + err.Error())
 		return false
 	}
-	return t.still(cmds)
+	return t.still()
 }
--- /dev/null
+++ b/internal/store/recover.go
@@ -0,0 +1,50 @@
+package store
+
+import (
+	"puffincrank/internal/ballot"
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/paxos"
+)
+
+// open takes up what the folder holds, or names a new empty replica.
+func (s *Store) open() error {
+	if s.acc.Me().ID == "" {
+		if err := s.acc.Name(paxos.Identity{ID: fresh()}); err != nil {
+			return err
+		}
+	}
+	s.vote = ballot.NewVoter(s.acc.Vow(), s.P.Vacant(), s.promise)
+	s.seen = s.acc.Vow().Round
+	point, err := s.acc.Snapshot()
+	if err != nil || point == nil {
+		return err
+	}
+	if err := s.reset(*point); err != nil {
+		return err
+	}
+	// What the files alone prove to be chosen is applied at once.
+	for _, e := range s.acc.Sure(s.slot, s.sum) {
+		if _, err := s.apply(&e); err != nil {
+			return err
+		}
+	}
+	s.placed()
+	// Whoever wrote last knows that nobody does since it ended.
+	s.again = s.role.Is("follow") && s.acc.Vow().Who == s.acc.Me().ID
+	return nil
+}
+
+// reset takes a checkpoint as the applied state.
+func (s *Store) reset(c paxos.Checkpoint) error {
+	led, err := ledger.Load(c.State)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.led, s.slot, s.sum = led, c.Slot, c.Sum
+	s.measured(len(c.State))
+	s.wind()
+	s.stir()
+	s.mu.Unlock()
+	return nil
+}
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return g, fault.Wrap(fault.Refused, err, "offer")
 	}
-	o := &offer{cmd: in.Cmd, in: cmd, back: make(chan done, 1)}
+	o := &offer{cmd: in.Cmd, in: cmd, once: in.Once, back: make(chan done, 1)}
 	if end, ok := ctx.Deadline(); ok {
 		o.by = end.Add(-time.Duration(in.Rest) * time.Millisecond)
 	}
--- a/internal/store/shorten.go
+++ b/internal/store/shorten.go
@@ -31,7 +31,7 @@
 		case *ledger.Propose, *ledger.Decide:
 			return
 		case *ledger.SetConfig, *ledger.NumberConfig:
-			if !t.versed(1) {
+			if !t.versed(ledger.LevelSteps) {
 				return
 			}
 			t.s.mu.Lock()
--- a/internal/store/stand.go
+++ b/internal/store/stand.go
@@ -8,7 +8,6 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
 	"puffincrank/internal/ledger"
-	"puffincrank/internal/paxos"
 	"puffincrank/internal/wire"
 )
 
@@ -183,15 +182,12 @@
 			s.kick(true)
 			return false
 		}
-		var pick *paxos.Entry
-		for _, v := range votes {
-			for i := range v.Entries {
-				e := &v.Entries[i]
-				if e.Slot == slot && (pick == nil || pick.Num.Less(e.Num)) {
-					pick = e
-				}
-			}
+		// Beyond what a cut vote names its voter may hold what is chosen.
+		if slot > toldUpTo(votes) {
+			s.kick(true)
+			return false
 		}
+		pick := highest(votes, slot)
 		if pick == nil {
 			break
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,7 +23,8 @@
 	"puffincrank/internal/wire"
 )
 
-// Store is one process. Lock order: learn, then mu, then the acceptor's own.
+// Store is one process. Lock order: learn, then imaging, then mu, then the
+// acceptor's own.
 type Store struct {
 	P    props.Props
 	e    env.Env
@@ -33,40 +34,59 @@
 	vote *ballot.Voter
 	role *state.Machine
 
-	learn  task.Lock // one at a time extends the applied state
-	mu     sync.Mutex
-	led    *ledger.State
-	slot   uint64
-	sum    []byte
-	turn   chan struct{}        // closed at each applied version
-	num    ballot.Number        // our ballot while we stand or write
-	head   string               // the inner address of the writer, as last heard
-	seen   uint64               // the highest round seen anywhere
-	term   *term                // set while we write
-	tired  time.Time            // until when we leave the duty to others
-	ill    bool                 // the disk refuses or is slow
-	bad    bool                 // the newest write was refused
-	wrote  uint64               // writes begun
-	under  map[uint64]time.Time // writes under way, from when on
-	eased  time.Time            // when a full disk was last to be freed by a checkpoint
-	later  time.Time            // until when a checkpoint that failed is not tried again
-	were   []string             // the members that were known when this one lost its place
-	points task.Lock            // one checkpoint at a time
-	shut   bool
-	warned time.Time  // when a foreign mesh was last named
-	again  bool       // stand at once, whoever is still heard
-	rouse  func()     // ends the wait of the loop of life
-	step   patch.Step // the last that a poll was given
-	duty   map[string]*ballot.Voter
-	sight  sight     // what our last term knew of the members
-	joined time.Time // when the writer last answered this spare
-	born   time.Time
-	free   time.Time            // after a holder gave the duty up: from when on we stand
-	ousted map[string]time.Time // address to when its store lost its place
-	small  time.Time            // from when on a small core is worth a warning
-	locks  map[string]clock     // when each lock's time runs out, by this store's clock
-	past   []mark               // which revisions stood when, by this store's clock
-	pulse  *pulse.Pulse
+	learn   task.Lock // one at a time extends the applied state
+	points  task.Lock // one checkpoint at a time
+	imaging task.Lock // one image of the state is made at a time
+	pulse   *pulse.Pulse
+	born    time.Time
+
+	mu sync.Mutex // guards all fields below but loading, which learn guards
+
+	// The applied state.
+	led  *ledger.State
+	slot uint64
+	sum  []byte
+	turn chan struct{} // closed at each applied entry
+	step patch.Step    // the last that a poll was given
+
+	// Leadership and membership.
+	num     ballot.Number        // our ballot while we stand or lead
+	head    string               // the inner address of the leader, as last heard
+	seen    uint64               // the highest round seen anywhere
+	term    *term                // set while we lead
+	tired   time.Time            // until when we leave the leadership to others
+	again   bool                 // stand at once, whoever is still heard
+	rouse   func()               // ends the wait of the loop of life
+	shut    bool                 // a polite stop has begun
+	leaving bool                 // this member accepts nothing more: the others hold what it has
+	sight   sight                // what our last term knew of the members
+	joined  time.Time            // when the leader last answered this stand-by
+	free    time.Time            // after a leader gave up: from when on we stand
+	ousted  map[string]time.Time // address to when its store lost its place
+	small   time.Time            // from when on a small core is worth a warning
+	warned  time.Time            // when a foreign mesh was last named
+	duty    map[string]*ballot.Voter
+
+	// The disk.
+	ill   bool                 // it refuses or is slow
+	bad   bool                 // the newest write was refused
+	wrote uint64               // writes begun
+	under map[uint64]time.Time // writes under way, from when on
+	eased time.Time            // when a full disk was last to be freed by a checkpoint
+	later time.Time            // until when a checkpoint that failed is not tried again
+
+	// Snapshots and the size of the state, in bytes.
+	image       *image    // the snapshot that is being sent, if any
+	loading     *download // the snapshot that is being fetched, if any
+	stateBytes  int       // of the packed state when it was last packed
+	logBytes    int       // of the batches applied since
+	weighed     time.Time // when the state was last packed to learn its size
+	warnedLarge time.Time // when a state near its bound was last named
+
+	// What this store's own clock says of the state.
+	locks        map[string]clock // when each lock's time runs out
+	past         []mark           // which revisions stood when
+	requestMarks []requestMark    // how many requests had been answered when
 }
 
 // New readies a store over its folder.
@@ -75,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{learn: task.NewLock(), points: task.NewLock(), under: map[uint64]time.Time{}, P: p, e: e, g: task.New(context.Background()).Pace(e.Pause), acc: acc, born: time.Now(), ousted: map[string]time.Time{}, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
+	s := &Store{learn: task.NewLock(), points: task.NewLock(), imaging: task.NewLock(), under: map[uint64]time.Time{}, P: p, e: e, g: task.New(context.Background()).Pace(e.Pause), acc: acc, born: time.Now(), ousted: map[string]time.Time{}, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
 	s.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "store"}, e, s.g, p.Frame, p.Jobs, p.Patience())
 	s.n.Bound = p.Links()
 	s.pulse = pulse.New(p.Beat(), p.Doze(), nil)
@@ -97,33 +117,6 @@
 	return s, nil
 }
 
-// open takes up what the folder holds, or names a new empty replica.
-func (s *Store) open() error {
-	if s.acc.Me().ID == "" {
-		if err := s.acc.Name(paxos.Identity{ID: fresh()}); err != nil {
-			return err
-		}
-	}
-	s.vote = ballot.NewVoter(s.acc.Vow(), s.P.Vacant(), s.promise)
-	s.seen = s.acc.Vow().Round
-	if s.acc.Point() == nil {
-		return nil
-	}
-	if err := s.reset(*s.acc.Point()); err != nil {
-		return err
-	}
-	// What the files alone prove to be chosen is applied at once.
-	for _, e := range s.acc.Sure(s.slot, s.sum) {
-		if _, err := s.apply(&e); err != nil {
-			return err
-		}
-	}
-	s.placed()
-	// Whoever wrote last knows that nobody does since it ended.
-	s.again = s.role.Is("follow") && s.acc.Vow().Who == s.acc.Me().ID
-	return nil
-}
-
 // promise keeps a ballot number on disk.
 func (s *Store) promise(n ballot.Number) error {
 	return s.keep(func() error { return s.acc.Promise(n) })
@@ -154,19 +147,6 @@
 	return hex.EncodeToString(b[:])
 }
 
-func (s *Store) reset(c paxos.Checkpoint) error {
-	led, err := ledger.Load(c.State)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.led, s.slot, s.sum = led, c.Slot, c.Sum
-	s.wind()
-	s.stir()
-	s.mu.Unlock()
-	return nil
-}
-
 func (s *Store) stir() {
 	close(s.turn)
 	s.turn = make(chan struct{})
@@ -182,6 +162,7 @@
 	}
 	s.clock(cmds, out)
 	s.slot, s.sum = e.Slot, e.Sum()
+	s.grown(len(e.Batch))
 	s.stir()
 	return out, nil
 }
@@ -214,7 +195,7 @@
 	s.mu.Lock()
 	s.shut = true
 	s.mu.Unlock()
-	s.yield()
+	s.leave()
 	s.resign("stopping")
 	s.n.Leave(s.P.Parting())
 	s.Kill()
--- /dev/null
+++ b/internal/store/tally.go
@@ -0,0 +1,33 @@
+package store
+
+import (
+	"math"
+
+	"puffincrank/internal/paxos"
+)
+
+// toldUpTo gives the highest slot for which every vote names all that its voter
+// accepted.
+func toldUpTo(votes []ballotVote) uint64 {
+	least := uint64(math.MaxUint64)
+	for _, v := range votes {
+		if v.More && len(v.Entries) > 0 {
+			least = min(least, v.Entries[len(v.Entries)-1].Slot)
+		}
+	}
+	return least
+}
+
+// highest gives the entry of a slot that was accepted under the highest ballot,
+// nil when no voter accepted any.
+func highest(votes []ballotVote, slot uint64) (pick *paxos.Entry) {
+	for _, v := range votes {
+		for i := range v.Entries {
+			e := &v.Entries[i]
+			if e.Slot == slot && (pick == nil || pick.Num.Less(e.Num)) {
+				pick = e
+			}
+		}
+	}
+	return pick
+}
--- a/internal/store/term.go
+++ b/internal/store/term.go
@@ -18,6 +18,7 @@
 type term struct {
 	s      *Store
 	num    ballot.Number
+	body   string // the members that the ballot was won from
 	g      *task.Group
 	queue  chan *offer
 	asks   chan *check
@@ -34,7 +35,7 @@
 
 func (s *Store) newTerm(num ballot.Number) *term {
 	now := time.Now()
-	t := &term{s: s, num: num, g: task.New(s.g.Context()).Pace(s.e.Pause), queue: make(chan *offer, 1024), asks: make(chan *check, 1024),
+	t := &term{s: s, num: num, body: s.body(), g: task.New(s.g.Context()).Pace(s.e.Pause), queue: make(chan *offer, 1024), asks: make(chan *check, 1024),
 		major: now, heard: map[string]word{}, spares: map[string]*spare{}}
 	for _, m := range s.led.Members {
 		t.heard[m.ID] = s.before(m.ID, now)
@@ -47,6 +48,7 @@
 	t.g.Go("confirmer", t.confirm)
 	t.g.Go("clocks", t.gather)
 	t.g.Every("lock-clock", t.s.P.Lease(), t.expire)
+	t.g.Every("command-level", t.s.P.Beat(), t.raiseLevel)
 	t.g.Every("core-watch", t.s.P.Lease(), t.watch)
 }
 
@@ -57,14 +59,12 @@
 
 // still ends the term when the members changed, since the ballot was won from
 // the old ones, or when the own disk is worse than another's.
-func (t *term) still(cmds ledger.Batch) bool {
-	for _, c := range cmds {
-		if c.Kind == "store.replace" || c.Kind == "store.remove" || c.Kind == "store.add" {
-			t.s.vote.Vacate(t.num)
-			t.s.depose("the members changed")
-			t.s.kick(true)
-			return false
-		}
+func (t *term) still() bool {
+	if t.s.body() != t.body {
+		t.s.vote.Vacate(t.num)
+		t.s.depose("the members changed")
+		t.s.kick(true)
+		return false
 	}
 	t.s.mind()
 	return !t.over()
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -6,6 +6,7 @@
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/ledger"
+	"puffincrank/internal/paxos"
 	"puffincrank/internal/wire"
 )
 
@@ -19,12 +20,12 @@
 	wire.On(s.n, "store.beat", s.onBeat)
 	wire.On(s.n, "store.vacate", s.onVacate)
 	wire.On(s.n, "store.fetch", s.onFetch)
+	wire.On(s.n, "store.snapshot", s.onChunk)
 	wire.On(s.n, "store.offer", s.onOffer)
 	wire.On(s.n, "store.read", s.onRead)
 	wire.On(s.n, "store.watch", s.onWatch)
 	wire.On(s.n, "store.puts", s.onPuts)
 	wire.On(s.n, "store.left", s.onLeft)
-	wire.On(s.n, "store.puts", s.onPuts)
 	wire.On(s.n, "store.duty", s.onDuty)
 	wire.On(s.n, "store.status", s.onStatus)
 	wire.On(s.n, "store.remove", s.onRemove)
@@ -75,10 +76,11 @@
 		if in.ID != s.acc.Me().ID {
 			s.depose("another was promised a higher ballot")
 		}
-		// What both have applied needs no word; the rest is few, since a slot is
-		// proposed only when the one before it is chosen.
-		v.Entries = s.acc.After(max(v.Slot, in.Slot), 256)
+		v.Entries, v.More = s.acceptedAfter(max(v.Slot, in.Slot))
 	}
+	// A vote under an identity that was given up meanwhile may lack what was
+	// accepted under it.
+	v.Yes = v.Yes && s.acc.Me().ID == v.ID
 	return v, nil
 }
 
@@ -86,7 +88,7 @@
 	s.mu.Lock()
 	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.ill || s.hung(), Knows: ledger.Level}
 	// While a write hangs, the next would only queue up behind it.
-	able := s.votes() && in.Entry.Slot > s.slot && !s.hung() && !s.foreign(in.Mesh, in.Addr)
+	able := s.votes() && !s.leaving && in.Entry.Slot > s.slot && !s.hung() && !s.foreign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		return a, nil
@@ -104,11 +106,34 @@
 	if in.Entry.Num.Who != s.acc.Me().ID {
 		s.hear(in.Addr)
 	}
-	a.Yes = true
+	a.Yes = s.acc.Me().ID == a.ID
 	s.learnLater(in.Slot, in.Sum, in.Addr)
 	return a, nil
 }
 
+// The bounds on the accepted entries that go with one vote, in count and as a
+// part of a frame. More than one is rare: an entry is proposed only when the one
+// before it is chosen, so a voter holds many only when it has applied none of
+// them for a while.
+const (
+	voteEntries   = 256
+	voteFrameRate = 4
+)
+
+// acceptedAfter gives what was accepted after a slot, as far as it fits a vote;
+// more tells that there is some beyond. What both sides have applied is left out.
+func (s *Store) acceptedAfter(slot uint64) (out []paxos.Entry, more bool) {
+	size := 0
+	for _, e := range s.acc.After(slot, voteEntries+1) {
+		size += len(e.Batch)
+		if len(out) == voteEntries || len(out) > 0 && size > s.P.Frame/voteFrameRate {
+			return out, true
+		}
+		out = append(out, e)
+	}
+	return out, false
+}
+
 // hear notes who writes.
 func (s *Store) hear(addr string) {
 	s.mu.Lock()
--- a/internal/store/well.go
+++ b/internal/store/well.go
@@ -7,6 +7,7 @@
 	"puffincrank/internal/disk"
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
+	"puffincrank/internal/paxos"
 )
 
 // keep runs a write to disk, times it and notes whether the disk is well.
@@ -74,7 +75,7 @@
 	}
 	// A checkpoint has its room kept free, and frees what it makes needless.
 	if ease {
-		s.point(1, 0)
+		s.point(0)
 	}
 }
 
@@ -108,47 +109,74 @@
 	return false
 }
 
-// checkpoint bounds the count of files.
+// checkpoint bounds the count of files and the bytes of the log.
 func (s *Store) checkpoint() {
+	now := time.Now()
 	s.mu.Lock()
-	// One that failed is not tried again at each version.
-	wait := time.Now().Before(s.later)
+	// One that failed is not tried again at each entry.
+	keep := s.checkpointDue()
+	wait := now.Before(s.later)
 	s.mu.Unlock()
-	if !wait {
-		s.point(span, older)
+	if keep > 0 && !wait {
+		s.point(keep)
 	}
 }
 
-// point writes a checkpoint, if so many versions were applied since the last,
-// and drops the files that it makes needless but for the spare newest. Nobody
-// waits for it: a disk that hangs must not stop the versions of the others.
-// learn is held, or the replica's place is certain otherwise.
-func (s *Store) point(least, spare uint64) {
+// checkpointDue tells how many entries a checkpoint of now would leave in the log,
+// 0 when none is due; mu is held.
+func (s *Store) checkpointDue() uint64 {
+	last := s.acc.Point()
+	if last == nil {
+		return older
+	}
+	since := s.slot - last.Slot
+	if s.logBytes >= s.P.StateBytes()/logPart && s.slot%spanOfLarge == 0 && since > 0 {
+		// The entries are large: few of them must not fill the disk.
+		return spanOfLarge
+	}
+	small := s.stateBytes <= snapshotChunk || s.logBytes >= s.stateBytes/checkpointBytes || since >= spanMost
+	if s.slot%span == 0 && since >= span && small {
+		return older
+	}
+	return 0
+}
+
+// point writes a checkpoint of the state of now, and drops the files that it makes
+// needless but for some of the newest entries. Nobody waits for it: a disk that
+// hangs must not stop the entries of the others. learn is held, or the replica's
+// place is certain otherwise.
+func (s *Store) point(keep uint64) {
 	if !s.points.TryLock() {
 		return
 	}
 	s.mu.Lock()
-	old := s.acc.Point()
-	if s.led == nil || old != nil && s.slot < old.Slot+least {
+	last := s.acc.Point()
+	if s.led == nil || last != nil && last.Slot >= s.slot {
 		s.mu.Unlock()
 		s.points.Unlock()
 		return
 	}
-	raw, err := s.led.Pack()
-	c, who := s.pointOf(raw), s.acc.Me().ID
+	keep = max(keep, s.keptForTransfer(s.slot))
+	c, err := s.packState()
+	who := s.acc.Me().ID
 	s.mu.Unlock()
 	ok := err == nil && s.g.Go("checkpoint", func(context.Context) {
 		defer s.points.Unlock()
-		if s.keep(func() error { return s.acc.Keep(who, c, spare) }) != nil {
-			s.mu.Lock()
-			s.later = time.Now().Add(s.P.Lease())
-			s.mu.Unlock()
-			return
-		}
-		s.e.Log.Emit(event.Checkpointed, "slot", c.Slot, "bytes", len(raw))
-		_ = s.acc.Reserve(len(raw)*2 + 64<<10)
+		s.writeCheckpoint(who, *c, keep)
 	})
 	if !ok {
 		s.points.Unlock()
 	}
 }
+
+// writeCheckpoint keeps a checkpoint on the disk; points is held.
+func (s *Store) writeCheckpoint(who string, c paxos.Checkpoint, keep uint64) {
+	if s.keep(func() error { return s.acc.Keep(who, c, keep) }) != nil {
+		s.mu.Lock()
+		s.later = time.Now().Add(s.P.Lease())
+		s.mu.Unlock()
+		return
+	}
+	s.e.Log.Emit(event.Checkpointed, "slot", c.Slot, "bytes", len(c.State))
+	_ = s.acc.Reserve(len(c.State)*2 + 64<<10)
+}
