The agreement as a model, its steps checked in every simulated run; a new member learns its place

Cause: nothing checked the stores' single steps, only what callers saw at the end; a change of members was argued, not explored. Model and runs found three faults: - A member that left by a plan ended as soon as its place was given. The change was known to the leader and to it alone, so the loss of the leader's disk right then left no majority (shortest trace: propose, two accept, choose, leave). One that does not lead says what it has applied, and is fetched from. - What a retired leader proposed over a slot that a voter had named only in part (the cut vote of the commit before) is one of the model's breaches.

Stores tell their steps (internal/trace) to a monitor in each simulated run; it checks promises, votes, proposals, choices, one entry a slot, members after each slot, who holds what when members change or leave, and reads.

Ruled out: telling the new member by a message of its own.

--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -12,6 +12,7 @@
 	"puffincrank/internal/event"
 	"puffincrank/internal/task"
 	"puffincrank/internal/tongue"
+	"puffincrank/internal/trace"
 )
 
 // Net opens and takes connections.
@@ -34,6 +35,8 @@
 	// Look looks whether the settings have changed; it is cheap, and called by
 	// beats that there are anyhow. Unset, nothing is looked at.
 	Look func()
+	// Trace is told of the steps of the agreement. Unset but in the simulator.
+	Trace trace.Observer
 }
 
 // Looks calls Look where it is set.
--- a/internal/mutant/core.go
+++ b/internal/mutant/core.go
@@ -15,6 +15,9 @@
 	{"other-content-confirmed", Kept, "internal/ledger/request.go", "	if bytes.Equal(a.Digest, digest) {\n", "	if len(a.Digest) == len(digest) {\n", "ledger", "TestOneNumberOneContent"},
 	{"order-not-remembered", Kept, "internal/store/requests.go", "	if s.level() < ledger.LevelRequests {\n", "	if s.level() < 1<<20 {\n", "sim", "TestOrderSentAgain|TestNumberRaces"},
 
+	{"change-without-holders", Kept, "internal/store/holders.go", "		if held {\n			return true\n		}\n", "		if held || need > 0 {\n			return true\n		}\n", "sim", "TestLeaveWhileOneLags"},
+	{"others-not-asked", Kept, "internal/store/leave.go", "	return err == nil && got.Held\n", "	return err == nil && (got.Held || !got.Held)\n", "sim", "TestSecondLoss"},
+
 	{"lock-cut-short", Rising, "internal/store/clocks.go", "end := now.Add(drift(time.Duration(c.TTL) * time.Millisecond))", "end := now.Add(drift(time.Duration(c.TTL) * time.Millisecond / 2))", "sim", "TestLockHolders"},
 	{"renewal-shortens", Rising, "internal/store/clocks.go", "old.fence == out[i].Lock.Fence && old.end.After(end) {", "old.fence == out[i].Lock.Fence && old.end.After(end.Add(time.Hour)) {", "sim", "TestLockHolders"},
 	{"number-twice", Rising, "internal/ledger/coord.go", "	s.Numbers[c.Name]++\n	return", "	if s.Numbers[c.Name]%16 != 15 || s.Rev%2 == 0 {\n		s.Numbers[c.Name]++\n	}\n	return", "sim", "TestCoreFaults"},
@@ -37,4 +40,5 @@
 	{"stand-by-not-awaited", Return, "internal/store/leave.go", "		t.s.e.Pause(ctx, t.s.P.Beat()/40)\n", "		return false\n", "sim", "TestLeftBusy"},
 	{"not-afresh", Return, "internal/proxy/beat.go", "g.state.Is(\"up\", \"draining\") && x.rep.OwnDead(dot)", "g.state.Is(\"draining\") && x.rep.OwnDead(dot)", "sim", "TestNodeFaults"},
 	{"dot-without-start", Return, "internal/replica/replica.go", "dot: self.Node + \"#\" + self.Start,", "dot: self.Node,", "replica", "TestDotOfAStart"},
+	{"place-not-learned", Return, "internal/store/join.go", "		if err == nil && got.Slot == 0 && got.Has > ask.Slot &&", "		if err == nil && got.Slot == 0 && got.Has > 1<<60 &&", "sim", "TestLeaveWhileOneLags"},
 }
--- a/internal/paxos/acceptor.go
+++ b/internal/paxos/acceptor.go
@@ -16,6 +16,7 @@
 	"puffincrank/internal/disk"
 	"puffincrank/internal/fault"
 	"puffincrank/internal/task"
+	"puffincrank/internal/trace"
 )
 
 // Format is the version of the stored files.
@@ -69,6 +70,8 @@
 	spare   int         // bytes that are kept free for a checkpoint, as far as known
 	harmed  uint64      // the highest slot whose file was damaged
 	Notes   []string    // what was found damaged at start
+	// Observe is told of each promise and each accepted entry once it is durable.
+	Observe trace.Observer
 }
 
 // Open reads the folder of a replica. A damaged identity, promise or only
--- a/internal/paxos/keep.go
+++ b/internal/paxos/keep.go
@@ -7,6 +7,7 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/disk"
 	"puffincrank/internal/fault"
+	"puffincrank/internal/trace"
 )
 
 // promisePrefix begins the names of the files of promises.
@@ -36,7 +37,9 @@
 	a.mu.Lock()
 	old := a.vow
 	a.vow = n
+	me := a.me.ID
 	a.mu.Unlock()
+	a.Observe.Tell(trace.Promised{Replica: me, Ballot: n})
 	if old.Round != n.Round {
 		_ = a.fs.Remove(promiseName(old.Round))
 	}
@@ -58,7 +61,11 @@
 			return err
 		}
 	}
-	return a.put(e)
+	if err := a.put(e); err != nil {
+		return err
+	}
+	a.Observe.Tell(trace.Accepted{Replica: a.Me().ID, Ballot: e.Num, Slot: e.Slot, Sum: string(e.Sum())})
+	return nil
 }
 
 func (a *Acceptor) put(e Entry) error {
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// checkSteps fails the test on any step of a store that the model does not allow.
+func (f *Fleet) checkSteps() {
+	for _, fault := range f.Steps.Faults() {
+		f.T.Errorf("a step that the model does not allow: %s", fault)
+	}
+}
+
 // Stop ends everything at once.
 func (f *Fleet) Stop() {
 	for _, n := range f.Nodes {
@@ -156,6 +163,7 @@
 	for _, c := range f.Cores {
 		f.KillCore(c, false)
 	}
+	f.checkSteps()
 	f.way.CloseIdleConnections()
 	f.g.Stop()
 	// net/http lingers for half a second on connections that it cut short.
--- a/internal/sim/files_test.go
+++ b/internal/sim/files_test.go
@@ -71,6 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFleet(t, small(), 96)
 		defer f.Stop()
+		f.Steps.Adopt()
 		for i, c := range f.Cores {
 			for n, b := range in.Disks[i] {
 				x := &node{data: b, saved: b}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -13,6 +13,7 @@
 
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
+	"puffincrank/internal/model"
 	"puffincrank/internal/props"
 	"puffincrank/internal/proxy"
 	"puffincrank/internal/registry"
@@ -45,7 +46,8 @@
 	Disk     *Disk
 	Store    *store.Store
 	Registry *registry.Registry
-	Seeds    []string // hosts that it is told of; nil for those of the founding
+	Steps    *model.Monitor // of another cluster, whose disk this machine was given
+	Seeds    []string       // hosts that it is told of; nil for those of the founding
 	skew     atomic.Int64
 }
 
@@ -68,6 +70,7 @@
 	Cores  []*Core
 	Nodes  []*Node
 	Log    func(event.Entry)
+	Steps  *model.Monitor // checks each step of the stores against the model
 	Polled bool           // callers leave out nodes that the platform finds unready
 	Told   map[string]any // props that every process is told
 	Stores map[string]any // props that every store is told
@@ -84,7 +87,7 @@
 
 // NewFleet lays out a fleet; Start brings it up.
 func NewFleet(t testing.TB, s Shape, seed uint64) *Fleet {
-	f := &Fleet{T: t, S: s, Net: NewNet(seed, 200*time.Microsecond, s.Far), Obs: stand.NewObserver(), g: task.New(context.Background())}
+	f := &Fleet{T: t, S: s, Net: NewNet(seed, 200*time.Microsecond, s.Far), Obs: stand.NewObserver(), Steps: model.NewMonitor(), g: task.New(context.Background())}
 	for i := range 3 {
 		f.Cores = append(f.Cores, &Core{Host: fmt.Sprintf("10.0.0.%d", i+1), Area: Areas[i], Disk: NewDisk()})
 		f.seedAt = append(f.seedAt, f.Cores[i].Host)
@@ -168,7 +171,10 @@
 // StartStore starts the store of a core machine on its disk.
 func (f *Fleet) StartStore(c *Core) {
 	e := f.env("store-"+c.Host, c.Host, c.Area, &c.skew)
-	e.FS = c.Disk
+	e.FS, e.Trace = c.Disk, f.Steps.Tell
+	if c.Steps != nil {
+		e.Trace = c.Steps.Tell
+	}
 	c.Disk.ice = f.Net.ice("store-" + c.Host)
 	// Each store has the seeds in another order.
 	hosts := f.seedsOf(c)
--- a/internal/sim/foreign_test.go
+++ b/internal/sim/foreign_test.go
@@ -30,7 +30,7 @@
 		k := f.keep()
 		c := f.mark(f.Writer())
 		f.KillCore(c, true)
-		c.Disk = other.Cores[0].Disk
+		c.Disk, c.Steps = other.Cores[0].Disk, other.Steps
 		was, _ := c.Disk.Read("i-identity")
 		f.BackCore(c)
 		f.serves(5 * time.Second)
--- /dev/null
+++ b/internal/sim/secondloss_test.go
@@ -0,0 +1,206 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// marking writes keys one after another through machines that run, until it is
+// stopped, and gives what was acknowledged.
+func (l *lab) marking(name string) (stop func() map[string]uint64) {
+	ctx, end := context.WithCancel(l.g.Context())
+	out := map[string]uint64{}
+	var wait sync.WaitGroup
+	wait.Add(1)
+	l.g.Go("marking", func(context.Context) {
+		defer wait.Done()
+		for i := 0; ctx.Err() == nil; i++ {
+			all := l.cores()
+			at := all[i%len(all)]
+			key := fmt.Sprint(name, i)
+			// A registry that is killed meanwhile answers nothing.
+			if rev := l.put(at, key, key); rev > 0 {
+				out[key] = rev
+			}
+			Wait(3 * time.Millisecond)
+		}
+	})
+	return func() map[string]uint64 {
+		end()
+		wait.Wait()
+		return out
+	}
+}
+
+// strike loses one machine for a while: by a kill, without power, or with its
+// disk.
+func (l *lab) strike(c *Core, how string) {
+	if c.Store == nil {
+		return
+	}
+	l.KillCore(c, how != "killed")
+	if how == "wiped" {
+		c.Disk.Wipe()
+	}
+	Wait(300 * time.Millisecond)
+	l.BackCore(c)
+}
+
+// departures are the ways in which a member's place comes to be another's. Each
+// tells whether the member's disk is lost by it, and leaves its machine gone or
+// back.
+var departures = []struct {
+	name string
+	disk bool
+	do   func(l *lab, c *Core, later time.Duration)
+}{
+	{"repaired at its address", true, func(l *lab, c *Core, later time.Duration) {
+		l.KillCore(c, true)
+		c.Disk.Wipe()
+		Wait(later)
+		l.BackCore(c)
+	}},
+	{"replaced after its loss", true, func(l *lab, c *Core, later time.Duration) {
+		l.KillCore(c, true)
+		Wait(later)
+		l.BackCore(l.fresh(c))
+	}},
+	{"replaced by a plan", false, func(l *lab, c *Core, later time.Duration) {
+		l.BackCore(l.fresh(c))
+		Wait(2*time.Second + later)
+		c.Store.Stop()
+		c.Registry.Stop()
+		l.KillCore(c, true)
+	}},
+	{"gone by a plan before its successor comes", true, func(l *lab, c *Core, later time.Duration) {
+		c.Store.Stop()
+		c.Registry.Stop()
+		l.KillCore(c, true)
+		Wait(later)
+		l.BackCore(l.fresh(c))
+	}},
+}
+
+// TestSecondLoss: while a member's place passes to another, at any moment, one
+// more machine is lost: by a kill or a loss of power where a disk is lost already,
+// and with its disk where none is. The service may rest; then it is back, and
+// nothing that was acknowledged is gone.
+func TestSecondLoss(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ cores, bear int }{{3, 1}, {5, 2}} {
+		for _, d := range departures {
+			t.Run(fmt.Sprintf("%d, %s", size.cores, d.name), func(t *testing.T) {
+				t.Parallel()
+				for seed := range seeds(6) {
+					synctest.Test(t, func(t *testing.T) {
+						rnd := rand.New(rand.NewPCG(seed, uint64(size.cores)))
+						l := newLab(t, seed+900, size.cores, size.bear)
+						defer l.Stop()
+						l.up()
+						l.Until(4*time.Second, "all places are taken", func() bool { return len(l.places()) == size.cores })
+						l.Stores["founding"] = false
+						Wait(time.Second)
+						leader := l.Writer()
+						away := l.Cores[slices.IndexFunc(l.Cores, func(c *Core) bool { return (c == leader) == (seed%3 == 0) })]
+						others := slices.DeleteFunc(slices.Clone(l.Cores), func(c *Core) bool { return c == away })
+						stop := l.marking("m")
+						Wait(200 * time.Millisecond)
+						done := make(chan struct{})
+						later := time.Duration(rnd.IntN(700)) * time.Millisecond
+						l.g.Go("departure", func(context.Context) {
+							defer close(done)
+							d.do(l, away, later)
+						})
+						// Anywhere on the way, most often in its first moments.
+						Wait(time.Duration(rnd.Float64() * rnd.Float64() * float64(3*time.Second)))
+						how := []string{"killed", "power"}[rnd.IntN(2)]
+						if !d.disk {
+							how = "wiped"
+						}
+						l.strike(others[rnd.IntN(len(others))], how)
+						<-done
+						took := l.next(15 * time.Second)
+						Wait(time.Second)
+						k := stop()
+						l.holds(k)
+						t.Logf("seed %d: %s, the next write after %v, %d were acknowledged", seed, how, took.Round(time.Millisecond), len(k))
+						if len(k) < 20 {
+							t.Errorf("only %d writes were acknowledged", len(k))
+						}
+						l.Until(10*time.Second, "all places are taken again", func() bool { return len(l.places()) == size.cores && l.placesRun() })
+					})
+				}
+			})
+		}
+	}
+}
+
+// placesRun tells whether every member's machine runs.
+func (l *lab) placesRun() bool {
+	at := l.places()
+	for _, c := range l.cores() {
+		if c.Store != nil {
+			delete(at, c.Host)
+		}
+	}
+	return len(at) == 0
+}
+
+// TestLeaveWhileOneLags: a member leaves by a plan on a busy core while another
+// has applied nothing for a while, since its disk hangs. Its place is given only
+// when a majority of those who vote then holds all: right after, the leader's disk
+// may go and all power with it.
+func TestLeaveWhileOneLags(t *testing.T) {
+	t.Parallel()
+	for seed := range seeds(4) {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLab(t, seed+930, 3, 1)
+			defer l.Stop()
+			l.from = time.Now()
+			defer func() {
+				if t.Failed() {
+					l.tell(t, time.Hour)
+				}
+			}()
+			l.up()
+			l.Until(4*time.Second, "all places are taken", func() bool { return len(l.places()) == 3 })
+			l.Stores["founding"] = false
+			leader := l.Writer()
+			var others []*Core
+			for _, c := range l.Cores {
+				if c != leader {
+					others = append(others, c)
+				}
+			}
+			lags, leaves := others[0], others[1]
+			fresh := l.fresh(leaves)
+			l.BackCore(fresh)
+			stop := l.marking("m")
+			Wait(2500 * time.Millisecond)
+			lags.Disk.Hang("v-", true)
+			Wait(time.Duration(300+100*seed) * time.Millisecond)
+			leaves.Store.Stop()
+			leaves.Registry.Stop()
+			l.KillCore(leaves, true)
+			lags.Disk.Hang("", false)
+			l.KillCore(leader, true)
+			leader.Disk.Wipe()
+			l.KillCore(lags, true)
+			l.KillCore(fresh, true)
+			Wait(300 * time.Millisecond)
+			for _, c := range []*Core{leader, lags, fresh} {
+				l.BackCore(c)
+			}
+			l.next(15 * time.Second)
+			k := stop()
+			l.holds(k)
+			t.Logf("seed %d: %d writes were acknowledged", seed, len(k))
+		})
+	}
+}
--- a/internal/store/confirm.go
+++ b/internal/store/confirm.go
@@ -6,6 +6,7 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/fault"
+	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
 
@@ -101,7 +102,8 @@
 // beat is one round: every member says whether our ballot still stands.
 func (t *term) beat(ctx context.Context) error {
 	s := t.s
-	from := time.Now()
+	from, round := time.Now(), t.rounds.Add(1)
+	s.e.Trace.Tell(trace.RoundBegan{Replica: s.acc.Me().ID, Round: round})
 	s.mu.Lock()
 	ask := beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.led.Mesh}
 	s.mu.Unlock()
@@ -144,6 +146,9 @@
 		t.mu.Lock()
 		t.major = from
 		t.mu.Unlock()
+		s.mu.Lock()
+		s.e.Trace.Tell(trace.RoundConfirmed{Replica: s.acc.Me().ID, Round: round, Slot: s.slot})
+		s.mu.Unlock()
 		return nil
 	}
 	if higher >= need {
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -9,6 +9,7 @@
 	"puffincrank/internal/fault"
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
 
@@ -21,7 +22,7 @@
 	defer s.mu.Unlock()
 	got := foundGot{Empty: s.led == nil, ID: s.acc.Me().ID, Head: s.head, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
 	if s.led != nil {
-		got.Mesh, got.Members = s.led.Mesh, s.led.Members
+		got.Mesh, got.Members, got.Slot = s.led.Mesh, s.led.Members, s.slot
 	}
 	return got, nil
 }
@@ -78,6 +79,9 @@
 	if err := s.reset(c); err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.e.Trace.Tell(trace.Installed{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
+	s.mu.Unlock()
 	s.e.Log.Emit(say, "mesh", led.Mesh, "slot", c.Slot)
 	// A joiner stays out of the voting until it is a member.
 	s.placed()
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -8,6 +8,7 @@
 	"puffincrank/internal/event"
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
 
@@ -122,6 +123,10 @@
 		ask := joinAsk{ID: s.acc.Me().ID, Addr: s.P.Inner, Mesh: s.led.Mesh, Slot: s.slot, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
 		s.mu.Unlock()
 		got, err := wire.Ask[joinGot](ctx, s.n, to, "store.join", ask)
+		if err == nil && got.Slot == 0 && got.Has > ask.Slot && s.refill(ctx, to) == nil && s.votes() {
+			// It does not lead, but knows of a place that this one was given.
+			return true
+		}
 		if err != nil || got.Head == to || got.Head == "" && got.Slot == 0 {
 			s.hear("")
 			return false
@@ -154,10 +159,11 @@
 	s.mu.Lock()
 	chosen, clusterID := s.slot, s.led.Mesh
 	s.mu.Unlock()
-	err := s.keep(func() error { return s.acc.Rename(paxos.Identity{ID: fresh(), Mesh: clusterID}, chosen) })
-	if err != nil {
+	former, now := s.acc.Me().ID, paxos.Identity{ID: fresh(), Mesh: clusterID}
+	if err := s.keep(func() error { return s.acc.Rename(now, chosen) }); err != nil {
 		return err
 	}
+	s.e.Trace.Tell(trace.Renamed{Replica: now.ID, Former: former})
 	s.vote.Reset()
 	s.mu.Lock()
 	s.head = ""
--- a/internal/store/leave.go
+++ b/internal/store/leave.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
 	"puffincrank/internal/ledger"
+	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
 
@@ -15,19 +17,26 @@
 const leaveGrace = 60
 
 // leave hands this member's place to a whole stand-by, before the process ends.
-// Without one the place is kept, since a planned stop is mostly a restart; then
-// the process ends only when the others hold all that it has: its disk may be
-// gone with it, and another's right after.
+// Without one the place is kept, since a planned stop is mostly a restart. Either
+// way the process ends only when a majority without it holds all that it has, the
+// change of its place included: its disk may be gone with it, and another's right
+// after.
 func (s *Store) leave() {
 	from := time.Now()
 	ctx, end := context.WithTimeout(s.g.Context(), s.P.Grace*leaveGrace/100)
 	defer end()
 	one, over := context.WithTimeout(ctx, s.P.Patience())
-	given := s.handOver(one)
+	slot, given := s.handOver(one)
 	over()
+	for given && !s.changeKnown(ctx, slot) && ctx.Err() == nil {
+		s.e.Pause(ctx, s.P.Beat()/10)
+	}
 	for !given && s.isVoter() && !s.othersHold(ctx) && ctx.Err() == nil {
 		s.e.Pause(ctx, s.P.Beat()/4)
 	}
+	if ctx.Err() == nil {
+		s.e.Trace.Tell(trace.Left{Replica: s.acc.Me().ID})
+	}
 	s.e.Log.Emit(event.Left, "place_given", given, "after_ms", time.Since(from).Milliseconds(), "in_time", ctx.Err() == nil)
 }
 
@@ -38,24 +47,60 @@
 	return s.isMember(s.acc.Me().ID)
 }
 
-// handOver gives this member's place to a stand-by; false means that it is kept.
-func (s *Store) handOver(ctx context.Context) bool {
+// handOver gives this member's place to a stand-by, by the change in a slot; false
+// means that it is kept.
+func (s *Store) handOver(ctx context.Context) (slot uint64, given bool) {
 	s.mu.Lock()
 	t, head, me, num := s.term, s.head, s.acc.Me().ID, s.num
 	member := s.isMember(me)
 	s.mu.Unlock()
 	switch {
 	case !member:
-		return false
+		return 0, false
 	case t == nil && head != "":
 		got, err := wire.Ask[ack](ctx, s.n, head, "store.leave", leaveAsk{ID: me})
-		return err == nil && got.Yes
+		return got.Slot, err == nil && got.Yes
 	case t != nil && t.givePlace(ctx, me):
 		// The term is over with the change; the others need not miss it first.
 		s.vacate(num)
-		return true
+		_, _, slot = s.members()
+		return slot, true
 	}
-	return false
+	return 0, false
+}
+
+// changeKnown tells whether a majority of the members after a change has applied
+// it: until then those of before decide, and this one is among them.
+func (s *Store) changeKnown(ctx context.Context, slot uint64) bool {
+	ctx, end := context.WithTimeout(ctx, s.P.Patience())
+	defer end()
+	who, _ := s.fellows()
+	has := map[string]uint64{s.acc.Me().ID: slot}
+	var after []ledger.Member
+	for range 2 {
+		ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
+			return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Me().ID, s.P.Inner})
+		}, func(_ string, got foundGot, err error) bool {
+			if err == nil && got.Slot >= slot {
+				has[got.ID], after = got.Slot, got.Members
+			}
+			return false
+		})
+		// The one who took the place is known from those who know the change.
+		who = nil
+		for _, m := range after {
+			if has[m.ID] == 0 {
+				who = append(who, m.Addr)
+			}
+		}
+	}
+	n := 0
+	for _, m := range after {
+		if has[m.ID] >= slot {
+			n++
+		}
+	}
+	return n > len(after)/2
 }
 
 // othersHold tells whether the others hold all that this leaving member has. Once
@@ -99,7 +144,9 @@
 	case in.Keeps:
 		return ack{Held: t.othersHold(ctx, in.ID)}, nil
 	}
-	return ack{Yes: t.givePlace(ctx, in.ID)}, nil
+	given := t.givePlace(ctx, in.ID)
+	_, _, slot := s.members()
+	return ack{Yes: given, Slot: slot}, nil
 }
 
 // givePlace gives a leaving member's place to the best stand-by, if there is one
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -82,6 +82,7 @@
 	Area    string          `msgpack:"z,omitempty"`
 	Land    string          `msgpack:"l,omitempty"`
 	Knows   int             `msgpack:"k,omitempty"` // the level of commands that it understands
+	Slot    uint64          `msgpack:"s,omitempty"` // what it has applied
 }
 
 type genesis struct {
@@ -107,6 +108,7 @@
 	Say  string `msgpack:"s"`
 	Done bool   `msgpack:"d"`           // the asker is a member
 	Slot uint64 `msgpack:"t,omitempty"` // what the writer has applied
+	Has  uint64 `msgpack:"a,omitempty"` // what the one asked has applied, whoever leads
 }
 
 // leaveAsk is a member's word that it stops: another may have its place.
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -138,6 +138,9 @@
 func (s *Store) onJoin(ctx context.Context, _ wire.Hello, in joinAsk) (joinGot, error) {
 	s.mu.Lock()
 	t, got := s.term, joinGot{Head: s.head}
+	if s.led != nil {
+		got.Has = s.slot
+	}
 	if t == nil {
 		s.mu.Unlock()
 		return got, nil
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -4,6 +4,7 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/trace"
 )
 
 // open takes up what the folder holds, or names a new empty replica.
@@ -22,6 +23,9 @@
 	if err := s.reset(*point); err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.e.Trace.Tell(trace.Opened{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
+	s.mu.Unlock()
 	// What the files alone prove to be chosen is applied at once.
 	for _, e := range s.acc.Sure(s.slot, s.sum) {
 		if _, err := s.apply(&e); err != nil {
@@ -48,3 +52,11 @@
 	s.mu.Unlock()
 	return nil
 }
+
+// memberIDs lists the members' identities; mu is held.
+func (s *Store) memberIDs() (out []string) {
+	for _, m := range s.led.Members {
+		out = append(out, m.ID)
+	}
+	return out
+}
--- a/internal/store/stand.go
+++ b/internal/store/stand.go
@@ -174,6 +174,11 @@
 	for _, v := range votes {
 		t.hears(ack{ID: v.ID, Slot: v.Slot, Knows: t.heard[v.ID].knows})
 	}
+	if s.body() != body {
+		s.kick(true)
+		return false
+	}
+	t.tellElected(votes)
 	// In each open slot the value under the highest ballot may be chosen.
 	for slot := s.slot + 1; ; slot++ {
 		// Slots after a change of the members are theirs to decide: the voters of
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -20,6 +20,7 @@
 	"puffincrank/internal/pulse"
 	"puffincrank/internal/state"
 	"puffincrank/internal/task"
+	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
 
@@ -99,6 +100,7 @@
 	s.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "store"}, e, s.g, p.Frame, p.Jobs, p.Patience())
 	s.n.Bound = p.Links()
 	s.pulse = pulse.New(p.Beat(), p.Doze(), nil)
+	acc.Observe = e.Trace
 	for _, n := range acc.Notes {
 		e.Log.Emit(event.Damaged, "file", n)
 	}
@@ -163,6 +165,7 @@
 	s.clock(cmds, out)
 	s.slot, s.sum = e.Slot, e.Sum()
 	s.grown(len(e.Batch))
+	s.e.Trace.Tell(trace.Applied{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
 	s.stir()
 	return out, nil
 }
--- a/internal/store/tally.go
+++ b/internal/store/tally.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/trace"
 )
 
 // toldUpTo gives the highest slot for which every vote names all that its voter
@@ -31,3 +32,19 @@
 	}
 	return pick
 }
+
+// tellElected tells whose votes a term was won with; learn is held.
+func (t *term) tellElected(votes []ballotVote) {
+	s := t.s
+	if s.e.Trace == nil {
+		return
+	}
+	step := trace.Elected{Replica: s.acc.Me().ID, Ballot: t.num}
+	for _, v := range votes {
+		step.Voters = append(step.Voters, v.ID)
+	}
+	s.mu.Lock()
+	step.Slot, step.Members = s.slot, s.memberIDs()
+	s.mu.Unlock()
+	s.e.Trace.Tell(step)
+}
--- a/internal/store/term.go
+++ b/internal/store/term.go
@@ -11,6 +11,7 @@
 	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
 	"puffincrank/internal/task"
+	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
 
@@ -30,6 +31,7 @@
 	shut   atomic.Bool       // handing the duty on: no more offers
 	leaves atomic.Bool       // giving the duty up for its disk
 	held   atomic.Int64      // offers that wait for their receipt
+	rounds atomic.Uint64     // in which the members were asked whether this store still leads
 	higher int               // rounds in which a member held a higher promise
 }
 
@@ -78,6 +80,8 @@
 	ask := acceptAsk{Entry: e, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.led.Mesh}
 	who, need := s.fellows()
 	got := map[string]bool{}
+	var acceptors []string
+	s.e.Trace.Tell(trace.Proposed{Replica: s.acc.Me().ID, Ballot: t.num, Slot: e.Slot, Sum: string(e.Sum())})
 	from := time.Now()
 	for {
 		var left []string
@@ -104,11 +108,13 @@
 			}
 			if a.Yes && t.hears(a) {
 				got[to] = true
+				acceptors = append(acceptors, a.ID)
 			}
 			return higher >= need || len(got) >= need
 		})
 		end()
 		if len(got) >= need {
+			s.e.Trace.Tell(trace.Chosen{Replica: s.acc.Me().ID, Ballot: t.num, Slot: e.Slot, Sum: string(e.Sum()), Acceptors: acceptors})
 			return s.apply(&e)
 		}
 		if higher >= need {
