--- a/internal/stand/linear.go
+++ b/internal/stand/linear.go
@@ -2,8 +2,9 @@
 
 import (
 	"math"
-	"sort"
 	"time"
+
+	"github.com/anishathalye/porcupine"
 )
 
 // Op is one call on one key, as its caller saw it. A call whose outcome is
@@ -20,63 +21,48 @@
 	Unknown bool
 }
 
-// Linear tells whether a history of one key can be explained by calls that
-// each took effect at one moment between begin and end. It searches orders
-// depth first and remembers what it has tried.
+// Linear tells whether a history of one key can be explained by calls that each
+// took effect at one moment between begin and end.
 func Linear(all []Op) bool {
-	ops := append([]Op(nil), all...)
-	sort.Slice(ops, func(i, j int) bool { return ops[i].From.Before(ops[j].From) })
-	// A read without an answer says nothing.
-	var list []Op
-	for _, o := range ops {
+	var calls []HistoryCall
+	for _, o := range all {
+		// A read without an answer says nothing.
 		if !o.Unknown || o.Write {
-			list = append(list, o)
+			calls = append(calls, HistoryCall{In: o, From: o.From, To: o.To, Unknown: o.Unknown})
 		}
 	}
-	type mark struct {
-		done  string
-		value string
-	}
-	tried := map[mark]bool{}
-	done := make([]byte, len(list))
-	var search func(value string) bool
-	search = func(value string) bool {
-		m := mark{string(done), value}
-		if tried[m] {
-			return false
-		}
-		tried[m] = true
-		// Whoever ended first bounds who may come next.
-		first := time.Unix(math.MaxInt32, 0)
-		left := false
-		for i, o := range list {
-			if done[i] == 0 && !o.Unknown {
-				left = true
-				if o.To.Before(first) {
-					first = o.To
-				}
-			}
-		}
-		if !left {
-			return true
-		}
-		for i, o := range list {
-			if done[i] != 0 || o.From.After(first) {
-				continue
-			}
-			next, ok := step(o, value)
-			if !ok {
-				continue
-			}
-			done[i] = 1
-			if search(next) {
-				return true
-			}
-			done[i] = 0
+	return Explained(keyModel, calls)
+}
+
+// HistoryCall is one call of a history, on whatever object a model is of.
+type HistoryCall struct {
+	In, Out  any
+	From, To time.Time
+	Unknown  bool // whether it took effect, and when, is not known
+}
+
+// Explained tells whether a model explains a history. A call that is unknown has
+// no end: it may take effect after all others, which is as good as never.
+func Explained(m porcupine.Model, calls []HistoryCall) bool {
+	var ops []porcupine.Operation
+	for i, c := range calls {
+		op := porcupine.Operation{ClientId: i, Input: c, Call: c.From.UnixNano(), Output: c.Out, Return: c.To.UnixNano()}
+		if c.Unknown {
+			op.Return = math.MaxInt64
 		}
-		return false
+		ops = append(ops, op)
 	}
-	return search("")
+	return porcupine.CheckOperations(m, ops)
+}
+
+// keyModel is one key: its state is the value.
+var keyModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, _ any) (bool, any) {
+		o, _ := input.(HistoryCall).In.(Op)
+		next, ok := step(o, state.(string))
+		return ok, next
+	},
 }
 
 // step applies one call to a value; false means that it can't be next.
@@ -92,3 +78,62 @@
 	}
 	return o.Value, true
 }
+
+// NumberModel is a row of rising numbers: each call gives one above all that were
+// given before; Out is the number.
+var NumberModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		last := state.(uint64)
+		if input.(HistoryCall).Unknown {
+			// Numbers may be left out, so it makes no difference.
+			return true, last
+		}
+		got := output.(uint64)
+		return got > last, got
+	},
+}
+
+// Order is an operator's configuration under a number, or a read of what stands.
+type Order struct {
+	Number  uint64 // 0 for a read
+	Content string
+}
+
+// OrderAnswer is what came back: a confirmation, a refusal, or what a read gave.
+type OrderAnswer struct {
+	Refused bool
+	Number  uint64
+	Content string
+}
+
+// orders is the state of a configuration: what stands, and the content that each
+// number was taken with, in the order of numbers.
+type orders struct {
+	stands Order
+	taken  string // one line for each number that was taken
+}
+
+// OrderModel is the operator's configuration: the highest number stands; one
+// number has one content for ever; another content under it is refused, and the
+// same one confirmed as often as it comes.
+var OrderModel = porcupine.Model{
+	Init: func() any { return orders{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, call := state.(orders), input.(HistoryCall)
+		in, _ := call.In.(Order)
+		out, _ := output.(OrderAnswer)
+		if in.Number == 0 {
+			return out.Number == s.stands.Number && out.Content == s.stands.Content, s
+		}
+		content, known := s.content(in.Number)
+		refused := known && content != in.Content
+		if !call.Unknown && refused != out.Refused {
+			return false, s
+		}
+		if refused || known {
+			return true, s
+		}
+		return true, s.take(in)
+	},
+}
