--- a/internal/mutant/core.go
+++ b/internal/mutant/core.go
@@ -16,6 +16,8 @@
 	{"order-not-remembered", Kept, "internal/store/requests.go", "	if s.level() < ledger.LevelRequests {\n", "	if s.level() < 1<<20 {\n", "sim", "TestOrderSentAgain|TestNumberRaces"},
 
 	{"change-without-holders", Kept, "internal/store/holders.go", "		if held {\n			return true\n		}\n", "		if held || need > 0 {\n			return true\n		}\n", "sim", "TestLeaveWhileOneLags"},
+	{"cut-vote-trusted", Kept, "internal/store/stand.go", "		if slot > toldUpTo(votes) {\n", "		if slot > toldUpTo(votes) && slot == 0 {\n", "store", "TestCutVote"},
+	{"snapshot-unchecked", Kept, "internal/store/download.go", "!bytes.Equal(sum[:], head.ID) {", "len(sum) != len(head.ID) {", "store", "TestBadSnapshots"},
 	{"others-not-asked", Kept, "internal/store/leave.go", "	return err == nil && got.Held\n", "	return err == nil && (got.Held || !got.Held)\n", "sim", "TestSecondLoss"},
 
 	{"lock-cut-short", Rising, "internal/store/clocks.go", "end := now.Add(drift(time.Duration(c.TTL) * time.Millisecond))", "end := now.Add(drift(time.Duration(c.TTL) * time.Millisecond / 2))", "sim", "TestLockHolders"},
--- a/internal/sim/largestate_test.go
+++ b/internal/sim/largestate_test.go
@@ -86,13 +86,13 @@
 	}
 }
 
-// isMember tells whether a machine's store has a place and has applied nearly all.
-func (l *lab) isMember(c *Core, leader *Core) bool {
+// isMember tells whether a machine's store has a place and has applied all but so many entries.
+func (l *lab) isMember(c, leader *Core, lag float64) bool {
 	_, mine := l.Get(c.Host+":7004", "/puffin/ready")
 	_, its := l.Get(leader.Host+":7004", "/puffin/ready")
 	a, _ := mine["version_slot"].(float64)
 	b, _ := its["version_slot"].(float64)
-	return mine["role"] == "follow" && l.places()[c.Host] && a > 0 && a+300 >= b
+	return mine["role"] == "follow" && l.places()[c.Host] && a > 0 && a+lag >= b
 }
 
 // TestLargeStateRefilled: a state larger than any message is fetched in chunks by
@@ -146,7 +146,7 @@
 				}
 				l.Until(c.within, "the emptied member has a place and is whole", func() bool {
 					w := l.Writer()
-					return w != nil && l.isMember(lost, w)
+					return w != nil && l.isMember(lost, w, 64)
 				})
 				took := time.Since(from)
 				n, slowest := stop()
--- /dev/null
+++ b/internal/sim/manychanges_test.go
@@ -0,0 +1,148 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// absences are the ways in which a member misses hundreds of changes. Each begins
+// when it is called and ends when back is.
+var absences = []struct {
+	name string
+	do   func(l *lab, c *Core) (back func())
+}{
+	{"away", func(l *lab, c *Core) func() {
+		l.KillCore(c, true)
+		return func() { l.BackCore(c) }
+	}},
+	{"cut off", func(l *lab, c *Core) func() {
+		l.Net.Isolate(c.Host, true)
+		return func() { l.Net.Isolate(c.Host, false) }
+	}},
+	{"frozen", func(l *lab, c *Core) func() {
+		l.Net.Freeze("store-"+c.Host, true)
+		l.Net.Freeze("core-"+c.Host, true)
+		return func() {
+			l.Net.Freeze("store-"+c.Host, false)
+			l.Net.Freeze("core-"+c.Host, false)
+		}
+	}},
+	{"on a slow disk", func(l *lab, c *Core) func() {
+		c.Disk.Slow(400 * time.Millisecond)
+		return func() { c.Disk.Slow(2 * time.Millisecond) }
+	}},
+	{"on a full disk", func(l *lab, c *Core) func() {
+		c.Disk.Room(0)
+		return func() { c.Disk.Room(-1) }
+	}},
+	{"on a disk that hangs", func(l *lab, c *Core) func() {
+		c.Disk.Hang("", true)
+		return func() { c.Disk.Hang("", false) }
+	}},
+	{"emptied", func(l *lab, c *Core) func() {
+		l.KillCore(c, true)
+		c.Disk.Wipe()
+		Wait(500 * time.Millisecond)
+		l.BackCore(c)
+		// Its refill goes on while the changes do.
+		return func() {}
+	}},
+}
+
+// changes puts so many configurations in force, one after another, and gives the
+// number of the last that was confirmed.
+func (l *lab) changes(count int, from uint64) uint64 {
+	last, at := from, l.cores()
+	for i := range count {
+		number := from + uint64(i) + 1
+		for try := range 30 {
+			c := at[(i+try)%len(at)]
+			if c.Registry == nil {
+				continue
+			}
+			code, _ := l.Ask("PUT", c.Host+":7003", "/puffin/config?by=number&left_ms=600", l.numberedDoc(number, fmt.Sprint("p", number)))
+			if code == 200 {
+				last = number
+				break
+			}
+		}
+	}
+	return last
+}
+
+// TestManyChanges: hundreds of changes of the configuration are confirmed while a
+// member misses them. It comes back, has all within the bound, and leads the
+// moment after, when the others are gone one after the other for good; what it
+// answers is the newest.
+func TestManyChanges(t *testing.T) {
+	t.Parallel()
+	for _, absence := range absences {
+		for _, count := range []int{300, 900} {
+			if count > 300 && absence.name != "away" && absence.name != "emptied" {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %d", absence.name, count), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { runMissed(t, absence.do, count) })
+			})
+		}
+	}
+}
+
+func runMissed(t *testing.T, absent func(*lab, *Core) func(), count int) {
+	l := newLab(t, 960, 3, 1)
+	defer l.Stop()
+	l.up()
+	l.Until(4*time.Second, "all places are taken", func() bool { return l.settled(3) && l.Writer() != nil })
+	l.Stores["founding"] = false
+	first := l.changes(3, 0)
+	w := l.Writer()
+	lost := l.Cores[slices.IndexFunc(l.Cores, func(c *Core) bool { return c != w })]
+	back := absent(l, lost)
+	last := l.changes(count, first)
+	if last < uint64(count) {
+		t.Fatalf("only %d of %d changes were confirmed", last, count)
+	}
+	back()
+	from := time.Now()
+	// Changes go on while it catches up.
+	ctx, end := context.WithCancel(l.g.Context())
+	done := make(chan uint64, 1)
+	l.g.Go("changes", func(context.Context) {
+		newest := last
+		for ctx.Err() == nil {
+			newest = l.changes(1, newest)
+			Wait(20 * time.Millisecond)
+		}
+		done <- newest
+	})
+	l.Until(8*time.Second, "the member has caught up", func() bool {
+		now := l.Writer()
+		return now != nil && (now == lost || l.isMember(lost, now, 10))
+	})
+	took := time.Since(from)
+	end()
+	last = <-done
+	if took > 4*time.Second+500*time.Millisecond {
+		t.Errorf("caught up after %v", took)
+	}
+	// It may lead at once: the leader goes, and the third is cut off until then.
+	if w = l.Writer(); w != nil && w != lost {
+		l.KillCore(w, true)
+	}
+	at := lost.Host + ":7003"
+	var got map[string]any
+	l.Until(10*time.Second, "it answers the newest", func() bool {
+		var code int
+		code, got = l.Get(at, "/puffin/config?as=sent&left_ms=1000")
+		return code == 200
+	})
+	if version, _ := got["version"].(float64); uint64(version) != last {
+		t.Errorf("version %v is read back, %d was confirmed", got["version"], last)
+	}
+	t.Logf("%d changes, caught up after %v", last, took.Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/store/snapshot_test.go
@@ -0,0 +1,171 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"hash/crc32"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/ballot"
+	"puffincrank/internal/disk"
+	"puffincrank/internal/env"
+	"puffincrank/internal/event"
+	"puffincrank/internal/fault"
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/paxos"
+	"puffincrank/internal/props"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+// alone is a store that is the one member of its cluster, on a network without
+// connections.
+func alone(t *testing.T) (*Store, *wire.Paved) {
+	t.Helper()
+	dir, err := disk.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := props.Props{Node: "n", Mesh: "m", Change: 2 * time.Second, Return: 15 * time.Second, Frame: 1 << 20, Jobs: 8, Inner: "me:1", State: 1 << 20}
+	road := &wire.Paved{Road: wire.NewRoad(func(string, string) time.Duration { return time.Millisecond })}
+	s, err := New(p, env.Env{Net: road, FS: dir, Wall: time.Now, Log: event.New("n", nil), Pause: task.Pause})
+	if err != nil {
+		t.Fatal(err)
+	}
+	led := ledger.New("m", []ledger.Member{{ID: s.acc.Me().ID, Addr: "me:1"}})
+	raw, err := led.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.install(paxos.Checkpoint{Sum: []byte("zero"), State: raw}, event.Founded); err != nil {
+		t.Fatal(err)
+	}
+	return s, road
+}
+
+// packedBatch is a batch of one command that changes nothing.
+func packedBatch(t *testing.T) []byte {
+	t.Helper()
+	p, err := ledger.Pack("noop", &ledger.Noop{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ledger.Batch{p}.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// TestCutVote: a voter that accepted more than fits a vote says so, and a new
+// leader proposes nothing of its own beyond what it was told of: it is elected
+// again, and told the rest.
+func TestCutVote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := alone(t)
+		defer s.Kill()
+		prev := []byte("zero")
+		num := ballot.Number{Round: 1, Who: "other"}
+		for slot := range uint64(voteEntries + 3) {
+			e := paxos.Entry{Slot: slot + 1, Prev: prev, Batch: packedBatch(t), Num: num}
+			if err := s.acc.Accept(e); err != nil {
+				t.Fatal(err)
+			}
+			prev = e.Sum()
+		}
+		told, more := s.acceptedAfter(0)
+		if len(told) != voteEntries || !more {
+			t.Fatalf("%d entries are told, more %v", len(told), more)
+		}
+		if rest, more := s.acceptedAfter(voteEntries); len(rest) != 3 || more {
+			t.Errorf("%d entries are left, more %v", len(rest), more)
+		}
+		mine := ballot.Number{Round: 2, Who: s.acc.Me().ID}
+		s.vote = ballot.NewVoter(mine, s.P.Vacant(), s.promise)
+		s.role.Fire("stand")
+		vote := ballotVote{ID: mine.Who, Yes: true, Entries: told[:2], More: true}
+		if s.prepare(t.Context(), mine, s.body(), []ballotVote{vote}, []string{"me:1"}) {
+			t.Error("it leads by a vote that was cut")
+		}
+		if s.slot != 2 || s.term != nil || !s.again {
+			t.Errorf("slot %d is applied, stands again %v", s.slot, s.again)
+		}
+	})
+}
+
+// TestBadSnapshots: a snapshot whose announcement or chunks are wrong is refused
+// by name, and nothing of it is installed; after a break it goes on where it was.
+func TestBadSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, road := alone(t)
+		defer s.Kill()
+		led := ledger.New("m", s.led.Members)
+		led.Rev = 77
+		led.Keys["large"] = ledger.Key{Value: bytes.Repeat([]byte("x"), 3*snapshotChunk), Rev: 77}
+		state, err := led.Pack()
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := sha256.Sum256(state)
+		good := snapshotHead{ID: sum[:], Slot: 9, Sum: []byte("nine"), Size: len(state)}
+		var spoil func(*chunkGot) error
+		asked := 0
+		g := task.New(context.Background())
+		defer g.Stop()
+		n := wire.NewNode(wire.Hello{Mesh: "m", Node: "sender"}, env.Env{Net: road, Wall: time.Now, Log: event.New("sender", nil)}, g, 1<<20, 8, time.Second)
+		wire.On(n, "store.snapshot", func(_ context.Context, _ wire.Hello, in chunkAsk) (chunkGot, error) {
+			asked++
+			data := bytes.Clone(state[in.Offset:min(in.Offset+snapshotChunk, len(state))])
+			got := chunkGot{ID: in.ID, Offset: in.Offset, Data: data, Checksum: crc32.ChecksumIEEE(data)}
+			return got, spoil(&got)
+		})
+		if err := n.Listen("sender:1"); err != nil {
+			t.Fatal(err)
+		}
+		defer n.Close()
+		other := sha256.Sum256([]byte("other"))
+		for _, c := range []struct {
+			name  string
+			head  snapshotHead
+			spoil func(*chunkGot) error
+			fault string
+		}{
+			{"too large", snapshotHead{ID: sum[:], Size: 1 << 30}, nil, "announced size"},
+			{"empty", snapshotHead{ID: sum[:]}, nil, "announced size"},
+			{"without an identity", snapshotHead{Size: 10}, nil, "announced size"},
+			{"a damaged chunk", good, func(c *chunkGot) error { c.Data[5] ^= 1; return nil }, "fails its checksum"},
+			{"a chunk of another", good, func(c *chunkGot) error { c.ID = other[:]; return nil }, "another snapshot"},
+			{"a chunk out of order", good, func(c *chunkGot) error { c.Offset += 7; return nil }, "in place of"},
+			{"an empty chunk", good, func(c *chunkGot) error { c.Data = nil; return nil }, "in place of"},
+			{"too much", good, func(c *chunkGot) error { c.Data = append(c.Data, make([]byte, snapshotChunk)...); return nil }, "in place of"},
+			{"another content", snapshotHead{ID: other[:], Slot: 9, Size: len(state)}, func(*chunkGot) error { return nil }, "fails its checksum"},
+		} {
+			spoil = c.spoil
+			err := s.fetchSnapshot(t.Context(), "sender:1", c.head)
+			if !fault.Is(err, fault.Input) || !strings.Contains(err.Error(), c.fault) || s.led.Rev == 77 || s.loading != nil {
+				t.Errorf("%s: %v, revision %d", c.name, err, s.led.Rev)
+			}
+		}
+		// The sender goes in the middle; what has come is kept.
+		spoil = func(c *chunkGot) error {
+			if c.Offset >= 2*snapshotChunk {
+				return fault.New(fault.Refused, "gone")
+			}
+			return nil
+		}
+		if err := s.fetchSnapshot(t.Context(), "sender:1", good); err == nil || s.loading == nil {
+			t.Fatalf("a break: %v", err)
+		}
+		asked, spoil = 0, func(*chunkGot) error { return nil }
+		if err := s.fetchSnapshot(t.Context(), "sender:1", good); err != nil || s.led.Rev != 77 || s.slot != 9 {
+			t.Fatalf("after the break: %v, revision %d", err, s.led.Rev)
+		}
+		if asked != 2 {
+			t.Errorf("%d chunks were fetched after the break", asked)
+		}
+	})
+}
