Connections to workers broken at every byte of a request and an answer

TestByteBoundaries breaks 600 connections in each of four ways (while a request is read, while an answer is written; by a reset, by silence), under calls that may and that may not be repeated. Found: nothing to mend.

--- /dev/null
+++ b/internal/sim/boundaries_test.go
@@ -0,0 +1,55 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/env"
+	"puffincrank/internal/stand"
+)
+
+// TestByteBoundaries: connections between nodes and workers break at every byte of
+// a request and of an answer, by a reset or by silence, while several callers make
+// calls that may and that may not be repeated. Each call that may not is run once
+// at the most, whoever answers busy did not run it, and nobody gets another's
+// answer or a part of one.
+func TestByteBoundaries(t *testing.T) {
+	t.Parallel()
+	for _, reading := range []bool{true, false} {
+		for _, silent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("reading %v, silent %v", reading, silent), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { runBoundaries(t, reading, silent) })
+			})
+		}
+	}
+}
+
+func runBoundaries(t *testing.T, reading, silent bool) {
+	s := small()
+	plan := &breakPlan{}
+	f := NewFleet(t, s, 970)
+	f.WorkerNet = func(n env.Net) env.Net { return &breakingNet{n, plan} }
+	defer f.Stop()
+	f.Start()
+	const bytes, step = 600, 60 * time.Millisecond
+	calls := f.Load([]stand.Line{
+		{Method: "POST", URI: "/loans/new", Service: "lending", Rate: 60, Size: 120},
+		{Method: "GET", URI: "/pages/7", Service: "pages", Safe: true, Rate: 60},
+		{Method: "POST", URI: "/scans/up", Service: "scans", Rate: 30, Size: 900},
+	}, bytes*step)
+	f.g.Go("breaks", func(ctx context.Context) {
+		for at := 0; at < bytes && ctx.Err() == nil; at++ {
+			plan.arm(reading, silent, at)
+			Wait(step)
+		}
+	})
+	calls()
+	if n := plan.count(); n < bytes*2/3 {
+		t.Errorf("only %d of %d connections were broken", n, bytes)
+	}
+	f.Judge()
+}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -63,23 +63,24 @@
 
 // Fleet is a whole mesh in one process, under virtual time.
 type Fleet struct {
-	T      testing.TB
-	S      Shape
-	Net    *Net
-	Obs    *stand.Observer
-	Cores  []*Core
-	Nodes  []*Node
-	Log    func(event.Entry)
-	Steps  *model.Monitor // checks each step of the stores against the model
-	Polled bool           // callers leave out nodes that the platform finds unready
-	Told   map[string]any // props that every process is told
-	Stores map[string]any // props that every store is told
-	way    *http.Transport
-	g      *task.Group
-	marked *Core         // the core machine of the fault under way
-	mu     sync.Mutex    // guards which processes run where, for faults that overlap
-	knew   time.Duration // from the first configuration until all knew all workers
-	seedAt []string      // hosts of the core machines at the founding
+	T         testing.TB
+	S         Shape
+	Net       *Net
+	Obs       *stand.Observer
+	Cores     []*Core
+	Nodes     []*Node
+	Log       func(event.Entry)
+	Steps     *model.Monitor        // checks each step of the stores against the model
+	Polled    bool                  // callers leave out nodes that the platform finds unready
+	Told      map[string]any        // props that every process is told
+	WorkerNet func(env.Net) env.Net // what workers have in place of their network
+	Stores    map[string]any        // props that every store is told
+	way       *http.Transport
+	g         *task.Group
+	marked    *Core         // the core machine of the fault under way
+	mu        sync.Mutex    // guards which processes run where, for faults that overlap
+	knew      time.Duration // from the first configuration until all knew all workers
+	seedAt    []string      // hosts of the core machines at the founding
 }
 
 // Areas of the fleets.
@@ -235,6 +236,9 @@
 	n.starts++
 	id := fmt.Sprintf("%s-%s-%d", service, strings.ReplaceAll(n.Host, ".", "-"), n.starts)
 	e := f.env(id, from, n.Area, &n.skew)
+	if f.WorkerNet != nil {
+		e.Net = f.WorkerNet(e.Net)
+	}
 	w, err := stand.NewWorker(e, service, id, n.Host+":9000", n.Host+":7003", f.S.Slots, stand.Way{Took: f.S.Took[service], Naive: naive}, f.Obs)
 	if err != nil {
 		f.T.Fatalf("worker at %s: %v", n.Host, err)
