--- a/internal/store/plain.go
+++ b/internal/store/batch.go
@@ -6,11 +6,11 @@
 	"puffincrank/internal/ledger"
 )
 
-// plain gives the commands of a batch, and where each offer's own stands among
-// them. Some are led in by another command in the same version, so that nothing
+// batchCommands gives the commands of a batch, and where each offer's own stands among
+// them. Some are led in by another command in the same entry, so that nothing
 // comes between the two; all are commands that every version of the program
 // applies alike. learn is held.
-func (s *Store) plain(batch []*offer) (cmds ledger.Batch, mine []int) {
+func (s *Store) batchCommands(batch []*proposal) (cmds ledger.Batch, mine []int) {
 	now := time.Now()
 	add := func(kind string, c ledger.Command) {
 		if p, err := ledger.Pack(kind, c); err == nil {
@@ -21,27 +21,27 @@
 	defer s.mu.Unlock()
 	for _, o := range batch {
 		if in, ok := o.in.(*ledger.TakeLock); ok && !in.Renew {
-			s.leadIn(o, in, now, add)
+			s.lockPrelude(o, in, now, add)
 		}
 		mine = append(mine, len(cmds))
 		cmds = append(cmds, o.cmd)
 	}
-	for kind, c := range s.trims(now) {
+	for kind, c := range s.trimCommands(now) {
 		add(kind, c)
 	}
 	return cmds, mine
 }
 
-// leadIn ends a lock that is asked for after its time. One that its owner
+// lockPrelude ends a lock that is asked for after its time. One that its owner
 // acquires again is given back first, so that it has a new fence: a release or
 // renewal of the old one, held up on its way, then does nothing. One that asks
 // to keep its fence is a renewal. mu is held.
-func (s *Store) leadIn(o *offer, in *ledger.TakeLock, now time.Time, add func(string, ledger.Command)) {
-	if c := s.over(in.Name, now); c != nil {
+func (s *Store) lockPrelude(o *proposal, in *ledger.TakeLock, now time.Time, add func(string, ledger.Command)) {
+	if c := s.expiredLock(in.Name, now); c != nil {
 		add("lock.expire", c)
 		return
 	}
-	l, held := s.led.Locks[in.Name]
+	l, held := s.state.Locks[in.Name]
 	if !held || l.Owner != in.Owner || in.Same {
 		return
 	}
--- a/internal/store/vacant_test.go
+++ b/internal/store/campaign_test.go
@@ -17,7 +17,7 @@
 	"puffincrank/internal/props"
 )
 
-// nobody is a network without fellows; it notes who was dialled.
+// nobody is a network without peers; it notes who was dialled.
 type nobody struct {
 	mu   sync.Mutex
 	told int
@@ -37,8 +37,8 @@
 	return n.told
 }
 
-// TestVacant: a member leaves a writer alone that was heard within the time of
-// a vacant duty, and stands for the duty within its turn after that.
+// TestVacant: a member leaves a leader alone that was heard within the time of
+// a vacant duty, and stands for the leadership within its turn after that.
 func TestVacant(t *testing.T) {
 	for _, rank := range []int{0, 1, 2} {
 		synctest.Test(t, func(t *testing.T) {
@@ -60,18 +60,18 @@
 			defer s.Kill()
 			// A member among five; another wrote and was heard just now.
 			holder := ballot.Number{Round: 7, Who: "w"}
-			s.led = ledger.New("m", nil)
+			s.state = ledger.New("m", nil)
 			for i, id := range []string{"a", "b", "c", "d"} {
 				if i == rank {
 					id = s.acc.Me().ID
 				}
-				s.led.Members = append(s.led.Members, ledger.Member{ID: id, Addr: map[bool]string{true: "me:1", false: id + ":1"}[i == rank]})
+				s.state.Members = append(s.state.Members, ledger.Member{ID: id, Addr: map[bool]string{true: "me:1", false: id + ":1"}[i == rank]})
 			}
-			s.led.Members = append(s.led.Members, ledger.Member{ID: "w", Addr: "w:1"})
+			s.state.Members = append(s.state.Members, ledger.Member{ID: "w", Addr: "w:1"})
 			s.role.Fire("filled")
-			s.vote = ballot.NewVoter(holder, p.Vacant(), s.promise)
+			s.voter = ballot.NewVoter(holder, p.Vacant(), s.promise)
 			from := time.Now()
-			s.g.Go("life", s.life)
+			s.g.Go("life", s.run)
 			least := p.Vacant() + time.Duration(rank)*p.Beat()/2
 			<-time.After(least)
 			synctest.Wait()
--- a/internal/store/confirm.go
+++ b/internal/store/confirm.go
@@ -10,24 +10,24 @@
 	"puffincrank/internal/wire"
 )
 
-// check is a read that waits for a majority to confirm the writer.
-type check struct{ back chan error }
+// readRequest is a read that waits for a majority to confirm the leader.
+type readRequest struct{ result chan error }
 
-// sure returns nil when a majority, asked after this call began, still holds
+// confirmLeadership returns nil when a majority, asked after this call began, still holds
 // this store's ballot the highest. All that was acknowledged before is then
 // applied here.
-func (t *term) sure(ctx context.Context) error {
-	c := &check{back: make(chan error, 1)}
-	if t.over() {
+func (t *leadership) confirmLeadership(ctx context.Context) error {
+	c := &readRequest{result: make(chan error, 1)}
+	if t.ended() {
 		return fault.New(fault.Refused, "no longer the writer")
 	}
 	select {
-	case t.asks <- c:
+	case t.reads <- c:
 	default:
 		return fault.New(fault.Refused, "too many reads wait")
 	}
 	select {
-	case err := <-c.back:
+	case err := <-c.result:
 		return err
 	case <-ctx.Done():
 		return fault.New(fault.Refused, "not confirmed in time")
@@ -36,94 +36,94 @@
 	}
 }
 
-// confirm is the loop of rounds: one for all reads that wait, and one at each
+// confirmLoop is the loop of rounds: one for all reads that wait, and one at each
 // beat, which also keeps the lease.
-func (t *term) confirm(ctx context.Context) {
+func (t *leadership) confirmLoop(ctx context.Context) {
 	beat := time.NewTicker(t.s.P.Beat())
 	defer beat.Stop()
 	for {
-		var wait []*check
+		var wait []*readRequest
 		select {
 		case <-ctx.Done():
 			return
-		case c := <-t.asks:
+		case c := <-t.reads:
 			wait = append(wait, c)
 		case <-beat.C:
 		}
 		for more := true; more; {
 			select {
-			case c := <-t.asks:
+			case c := <-t.reads:
 				wait = append(wait, c)
 			default:
 				more = false
 			}
 		}
-		err := t.beat(ctx)
+		err := t.heartbeat(ctx)
 		for _, c := range wait {
-			c.back <- err
+			c.result <- err
 		}
-		if t.outbid() {
-			t.s.depose("a member holds a higher promise: the ballot is run again")
-			t.s.kick(true)
+		if t.isOutbid() {
+			t.s.stepDown("a member holds a higher promise: the ballot is run again")
+			t.s.wakeLoop(true)
 			return
 		}
-		if err != nil && (fault.Is(err, fault.Stale) || t.stale()) {
-			t.s.depose(err.Error())
+		if err != nil && (fault.Is(err, fault.Stale) || t.isStale()) {
+			t.s.stepDown(err.Error())
 			return
 		}
 	}
 }
 
-// outbids notes a member's promise that is higher than our ballot.
-func (t *term) outbids(n ballot.Number) {
+// noteHigher notes a member's promise that is higher than our ballot.
+func (t *leadership) noteHigher(n ballot.Number) {
 	t.s.mu.Lock()
-	t.s.seen = max(t.s.seen, n.Round)
+	t.s.highestRound = max(t.s.highestRound, n.Round)
 	t.s.mu.Unlock()
 	t.mu.Lock()
-	t.higher++
+	t.refusals++
 	t.mu.Unlock()
 }
 
-// outbid tells that a member has refused us for a while: it would be left out
-// of every version, so the ballot is better run again above its promise.
-func (t *term) outbid() bool {
+// isOutbid tells that a member has refused us for a while: it would be left out
+// of every entry, so the ballot is better run again above its promise.
+func (t *leadership) isOutbid() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.higher >= 3
+	return t.refusals >= 3
 }
 
-// stale tells that no majority answered for a whole lease.
-func (t *term) stale() bool {
+// isStale tells that no majority answered for a whole lease.
+func (t *leadership) isStale() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Since(t.major) > t.s.P.Lease()
+	return time.Since(t.confirmedAt) > t.s.P.Lease()
 }
 
-// beat is one round: every member says whether our ballot still stands.
-func (t *term) beat(ctx context.Context) error {
+// heartbeat is one round: every member says whether our ballot still stands.
+func (t *leadership) heartbeat(ctx context.Context) error {
 	s := t.s
 	from, round := time.Now(), t.rounds.Add(1)
 	s.e.Trace.Tell(trace.RoundBegan{Replica: s.acc.Me().ID, Round: round})
 	s.mu.Lock()
-	ask := beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.led.Mesh}
+	ask := beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.Mesh}
 	s.mu.Unlock()
-	who, need := s.fellows()
+	who, need := s.memberAddresses()
 	yes, higher := 0, 0
 	// A slow member's answer still counts as heard after the majority is in.
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (ack, error) {
 		ctx, end := context.WithTimeout(s.g.Context(), s.P.Lease()/2)
 		defer end()
 		if to == s.P.Inner {
-			vow, _ := s.vote.Vow()
+			vow, _ := s.voter.Vow()
 			ok := vow == t.num
 			if ok {
-				_, _, _ = s.vote.Beat(t.num)
+				_, _, _ = s.voter.Beat(t.num)
 			}
 			return ack{Yes: ok, ID: s.acc.Me().ID, Seen: vow}, nil
 		}
 		a, err := wire.Ask[ack](ctx, s.n, to, "store.beat", ask)
 		if err == nil && a.Yes {
-			t.hears(a)
+			t.recordContact(a)
 		}
 		return a, err
 	}, func(_ string, a ack, err error) bool {
@@ -132,7 +132,7 @@
 		}
 		if t.num.Less(a.Seen) {
 			higher++
-			t.outbids(a.Seen)
+			t.noteHigher(a.Seen)
 		}
 		s.mu.Lock()
 		member := s.isMember(a.ID)
@@ -144,7 +144,7 @@
 	})
 	if yes >= need {
 		t.mu.Lock()
-		t.major = from
+		t.confirmedAt = from
 		t.mu.Unlock()
 		s.mu.Lock()
 		s.e.Trace.Tell(trace.RoundConfirmed{Replica: s.acc.Me().ID, Round: round, Slot: s.slot})
--- a/internal/store/well.go
+++ b/internal/store/diskhealth.go
@@ -10,32 +10,32 @@
 	"puffincrank/internal/paxos"
 )
 
-// keep runs a write to disk, times it and notes whether the disk is well.
-func (s *Store) keep(f func() error) error {
+// writeDurably runs a write to disk, times it and notes whether the disk is well.
+func (s *Store) writeDurably(f func() error) error {
 	from := time.Now()
 	s.mu.Lock()
-	s.wrote++
-	id := s.wrote
-	s.under[id] = from
+	s.writesBegun++
+	id := s.writesBegun
+	s.writesUnderWay[id] = from
 	s.mu.Unlock()
 	err := f()
 	took := time.Since(from)
 	s.mu.Lock()
-	delete(s.under, id)
+	delete(s.writesUnderWay, id)
 	s.mu.Unlock()
 	if err != nil && fault.Is(err, fault.Stale) {
 		return err
 	}
 	if err != nil {
-		s.sick(err)
+		s.diskFailed(err)
 		return err
 	}
 	slow := took > s.P.SlowSync()
 	s.mu.Lock()
-	was := s.ill
-	s.ill, s.bad = slow, false
+	was := s.diskIll
+	s.diskIll, s.lastWriteFailed = slow, false
 	if slow {
-		s.tired = time.Now().Add(s.P.Return / 3)
+		s.restsUntil = time.Now().Add(s.P.Return / 3)
 	}
 	s.mu.Unlock()
 	if slow && !was {
@@ -47,10 +47,10 @@
 	return nil
 }
 
-// hung tells that a write has been under way for too long: whoever waits for it
+// diskHangs tells that a write has been under way for too long: whoever waits for it
 // is told no at once, instead of waiting as well. mu is held.
-func (s *Store) hung() bool {
-	for _, from := range s.under {
+func (s *Store) diskHangs() bool {
+	for _, from := range s.writesUnderWay {
 		if time.Since(from) > s.P.SlowSync() {
 			return true
 		}
@@ -58,16 +58,16 @@
 	return false
 }
 
-// sick notes a disk that refused: nothing of it is acknowledged.
-func (s *Store) sick(err error) {
+// diskFailed notes a disk that refused: nothing of it is acknowledged.
+func (s *Store) diskFailed(err error) {
 	s.mu.Lock()
-	was, now := s.ill, time.Now()
-	s.ill, s.bad = true, true
-	s.tired = now.Add(s.P.Return / 3)
+	was, now := s.diskIll, time.Now()
+	s.diskIll, s.lastWriteFailed = true, true
+	s.restsUntil = now.Add(s.P.Return / 3)
 	// Once in a while: what is full again right away is not helped by another.
-	ease := disk.Full(err) && now.Sub(s.eased) > s.P.Return/3
+	ease := disk.Full(err) && now.Sub(s.easedAt) > s.P.Return/3
 	if ease {
-		s.eased = now
+		s.easedAt = now
 	}
 	s.mu.Unlock()
 	if !was {
@@ -75,34 +75,34 @@
 	}
 	// A checkpoint has its room kept free, and frees what it makes needless.
 	if ease {
-		s.point(0)
+		s.writePoint(0)
 	}
 }
 
-// mind gives the duty up while the own disk is worse than another's: looked at
+// watchDisk gives the leadership up while the own disk is worse than another's: looked at
 // at each beat, since a write that hangs says nothing.
-func (s *Store) mind() {
+func (s *Store) watchDisk() {
 	s.mu.Lock()
-	t, hung := s.term, s.hung()
-	ill := hung || s.ill
+	t, hung := s.leadership, s.diskHangs()
+	ill := hung || s.diskIll
 	if hung {
-		s.tired = time.Now().Add(s.P.Return / 3)
+		s.restsUntil = time.Now().Add(s.P.Return / 3)
 	}
 	s.mu.Unlock()
-	if t == nil || !ill || !t.relief() || !t.leaves.CompareAndSwap(false, true) {
+	if t == nil || !ill || !t.hasHealthierMember() || !t.leaves.CompareAndSwap(false, true) {
 		return
 	}
 	// From another goroutine, since resign waits for the voters.
-	s.g.Go("resign", func(context.Context) { s.resign("own disk hangs, is slow or refuses") })
+	s.g.Go("resign", func(context.Context) { s.transferLeadership("own disk hangs, is slow or refuses") })
 }
 
-// relief tells whether another member in touch has a disk that is well.
-func (t *term) relief() bool {
+// hasHealthierMember tells whether another member in touch has a disk that is well.
+func (t *leadership) hasHealthierMember() bool {
 	all, _, _ := t.s.members()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range all {
-		if w := t.heard[m.ID]; m.ID != t.s.acc.Me().ID && !w.ill && time.Since(w.at) < t.s.P.Lease() {
+		if w := t.contacts[m.ID]; m.ID != t.s.acc.Me().ID && !w.ill && time.Since(w.at) < t.s.P.Lease() {
 			return true
 		}
 	}
@@ -115,10 +115,10 @@
 	s.mu.Lock()
 	// One that failed is not tried again at each entry.
 	keep := s.checkpointDue()
-	wait := now.Before(s.later)
+	wait := now.Before(s.checkpointAfter)
 	s.mu.Unlock()
 	if keep > 0 && !wait {
-		s.point(keep)
+		s.writePoint(keep)
 	}
 }
 
@@ -127,7 +127,7 @@
 func (s *Store) checkpointDue() uint64 {
 	last := s.acc.Point()
 	if last == nil {
-		return older
+		return keptEntries
 	}
 	since := s.slot - last.Slot
 	if s.logBytes >= s.P.StateBytes()/logPart && s.slot%spanOfLarge == 0 && since > 0 {
@@ -135,25 +135,25 @@
 		return spanOfLarge
 	}
 	small := s.stateBytes <= snapshotChunk || s.logBytes >= s.stateBytes/checkpointBytes || since >= spanMost
-	if s.slot%span == 0 && since >= span && small {
-		return older
+	if s.slot%checkpointSpan == 0 && since >= checkpointSpan && small {
+		return keptEntries
 	}
 	return 0
 }
 
-// point writes a checkpoint of the state of now, and drops the files that it makes
+// writePoint writes a checkpoint of the state of now, and drops the files that it makes
 // needless but for some of the newest entries. Nobody waits for it: a disk that
 // hangs must not stop the entries of the others. learn is held, or the replica's
 // place is certain otherwise.
-func (s *Store) point(keep uint64) {
-	if !s.points.TryLock() {
+func (s *Store) writePoint(keep uint64) {
+	if !s.checkpointing.TryLock() {
 		return
 	}
 	s.mu.Lock()
 	last := s.acc.Point()
-	if s.led == nil || last != nil && last.Slot >= s.slot {
+	if s.state == nil || last != nil && last.Slot >= s.slot {
 		s.mu.Unlock()
-		s.points.Unlock()
+		s.checkpointing.Unlock()
 		return
 	}
 	keep = max(keep, s.keptForTransfer(s.slot))
@@ -161,19 +161,19 @@
 	who := s.acc.Me().ID
 	s.mu.Unlock()
 	ok := err == nil && s.g.Go("checkpoint", func(context.Context) {
-		defer s.points.Unlock()
+		defer s.checkpointing.Unlock()
 		s.writeCheckpoint(who, *c, keep)
 	})
 	if !ok {
-		s.points.Unlock()
+		s.checkpointing.Unlock()
 	}
 }
 
 // writeCheckpoint keeps a checkpoint on the disk; points is held.
 func (s *Store) writeCheckpoint(who string, c paxos.Checkpoint, keep uint64) {
-	if s.keep(func() error { return s.acc.Keep(who, c, keep) }) != nil {
+	if s.writeDurably(func() error { return s.acc.Keep(who, c, keep) }) != nil {
 		s.mu.Lock()
-		s.later = time.Now().Add(s.P.Lease())
+		s.checkpointAfter = time.Now().Add(s.P.Lease())
 		s.mu.Unlock()
 		return
 	}
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -11,10 +11,10 @@
 	"puffincrank/internal/wire"
 )
 
-// voter gives this store's vote for a duty of the registries. The promise is
+// dutyVoter gives this store's vote for a duty of the registries. The promise is
 // a file of its own; a damaged one counts as none, since what a holder writes
 // is fenced in the log besides.
-func (s *Store) voter(duty string) *ballot.Voter {
+func (s *Store) dutyVoter(duty string) *ballot.Voter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.duty[duty]
@@ -29,7 +29,7 @@
 			if err != nil {
 				return fault.Wrap(fault.Input, err, "pack promise")
 			}
-			return s.keep(func() error { return disk.Save(s.e.FS, file, raw) })
+			return s.writeDurably(func() error { return disk.Save(s.e.FS, file, raw) })
 		})
 		s.duty[duty] = v
 	}
@@ -41,8 +41,8 @@
 		return DutyVote{}, fault.New(fault.Refused, "no such duty")
 	}
 	s.mu.Lock()
-	able := s.led != nil && s.isMember(s.acc.Me().ID)
-	stuck := s.hung() && in.Op == "ask"
+	able := s.state != nil && s.isMember(s.acc.Me().ID)
+	stuck := s.diskHangs() && in.Op == "ask"
 	s.mu.Unlock()
 	if !able {
 		return DutyVote{}, fault.New(fault.Refused, "not a member")
@@ -50,7 +50,7 @@
 	if stuck {
 		return DutyVote{}, fault.New(fault.Refused, "the disk hangs")
 	}
-	v := s.voter(in.Duty)
+	v := s.dutyVoter(in.Duty)
 	switch in.Op {
 	case "beat":
 		yes, seen, err := v.Beat(in.Num)
--- a/internal/store/learn.go
+++ b/internal/store/fetch.go
@@ -14,8 +14,8 @@
 // ones are kept for slow members. Checkpoints are taken at slots that are
 // multiples of span, so that those of different members are equal byte for byte.
 const (
-	span  = 256
-	older = 256
+	checkpointSpan = 256
+	keptEntries    = 256
 )
 
 // checkpointBytes is how many bytes of entries lie between two checkpoints of a
@@ -23,7 +23,7 @@
 // at the most: writing a checkpoint costs its whole size.
 const (
 	checkpointBytes = 2
-	spanMost        = 16 * span
+	spanMost        = 16 * checkpointSpan
 )
 
 // logPart is the part of the bound on the state that the log may have before a
@@ -33,30 +33,30 @@
 	spanOfLarge = 8
 )
 
-// learnLater extends the applied state to a slot that is known to be chosen.
+// learnSoon extends the applied state to a slot that is known to be chosen.
 // One learner at a time is enough; the next beat brings the rest.
-func (s *Store) learnLater(slot uint64, sum []byte, from string) {
+func (s *Store) learnSoon(slot uint64, sum []byte, from string) {
 	s.mu.Lock()
-	behind := s.slot < slot && s.term == nil
+	behind := s.slot < slot && s.leadership == nil
 	s.mu.Unlock()
-	if !behind || !s.learn.TryLock() {
+	if !behind || !s.applying.TryLock() {
 		return
 	}
 	ok := s.g.Go("learn", func(ctx context.Context) {
-		defer s.learn.Unlock()
+		defer s.applying.Unlock()
 		s.learnTo(ctx, slot, sum, from)
 	})
 	if !ok {
-		s.learn.Unlock()
+		s.applying.Unlock()
 	}
 }
 
-// learnTo applies the own versions if they are proved chosen by their chain,
+// learnTo applies the own entries if they are proved chosen by their chain,
 // and fetches them otherwise; learn is held.
 func (s *Store) learnTo(ctx context.Context, slot uint64, sum []byte, from string) {
 	if chain := s.acc.Chain(s.slot, s.sum, slot, sum); chain != nil {
 		for i := range chain {
-			if !s.take(&chain[i]) {
+			if !s.applyChosen(&chain[i]) {
 				return
 			}
 		}
@@ -64,12 +64,12 @@
 	}
 	ctx, end := context.WithTimeout(ctx, s.P.Change)
 	defer end()
-	_ = s.catchUp(ctx, from, slot)
+	_ = s.fetchMissing(ctx, from, slot)
 }
 
-// take applies one chosen version; a version that this program can't read
+// applyChosen applies one chosen version; a version that this program can't read
 // stops the replica's state where it is, which readiness then shows.
-func (s *Store) take(e *paxos.Entry) bool {
+func (s *Store) applyChosen(e *paxos.Entry) bool {
 	if _, err := s.apply(e); err != nil {
 		s.e.Log.Emit(event.Foreign, "slot", e.Slot, "why", err.Error())
 		return false
@@ -78,12 +78,12 @@
 	return true
 }
 
-// catchUp fetches chosen versions from a fellow; learn is held.
-func (s *Store) catchUp(ctx context.Context, from string, to uint64) error {
+// fetchMissing fetches chosen entries from a peer; learn is held.
+func (s *Store) fetchMissing(ctx context.Context, from string, to uint64) error {
 	for first := true; ; first = false {
 		s.mu.Lock()
 		ask := fetchAsk{After: s.slot, Prev: s.sum, Chunks: true}
-		none := s.led == nil
+		none := s.state == nil
 		s.mu.Unlock()
 		if none {
 			ask.Prev = nil
@@ -107,10 +107,10 @@
 			if e.Slot != s.slot+1 || !bytes.Equal(e.Prev, s.sum) {
 				return fault.New(fault.Stale, "fellow's version %d does not follow ours", e.Slot)
 			}
-			if err := s.keep(func() error { return s.acc.Learn(*e) }); err != nil {
+			if err := s.writeDurably(func() error { return s.acc.Learn(*e) }); err != nil {
 				return err
 			}
-			if !s.take(e) {
+			if !s.applyChosen(e) {
 				return fault.New(fault.Input, "version %d can't be applied", e.Slot)
 			}
 		}
@@ -127,7 +127,7 @@
 // snapshot otherwise.
 func (s *Store) onFetch(_ context.Context, _ wire.Hello, in fetchAsk) (fetchGot, error) {
 	s.mu.Lock()
-	if s.led == nil {
+	if s.state == nil {
 		s.mu.Unlock()
 		return fetchGot{}, fault.New(fault.Refused, "empty")
 	}
@@ -184,7 +184,7 @@
 	return out
 }
 
-// rowed tells whether each version follows the one before.
+// rowed tells whether each entry follows the one before.
 func rowed(row []paxos.Entry) bool {
 	for i := 1; i < len(row); i++ {
 		if row[i].Slot != row[i-1].Slot+1 || !bytes.Equal(row[i].Prev, row[i-1].Sum()) {
@@ -194,7 +194,7 @@
 	return true
 }
 
-// pointOf is the checkpoint of what is applied; mu is held.
-func (s *Store) pointOf(raw []byte) paxos.Checkpoint {
+// checkpointOf is the checkpoint of what is applied; mu is held.
+func (s *Store) checkpointOf(raw []byte) paxos.Checkpoint {
 	return paxos.Checkpoint{Slot: s.slot, Sum: s.sum, State: raw}
 }
--- a/internal/store/found.go
+++ b/internal/store/founding.go
@@ -15,14 +15,14 @@
 
 func (s *Store) empty() bool { return s.role.Is("empty") }
 
-// onFound tells a fellow whether this store holds anything.
+// onFound tells a peer whether this store holds anything.
 func (s *Store) onFound(_ context.Context, _ wire.Hello, in foundAsk) (foundGot, error) {
-	s.succeeds(in.ID, in.Addr)
+	s.noteSuccessor(in.ID, in.Addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	got := foundGot{Empty: s.led == nil, ID: s.acc.Me().ID, Head: s.head, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
-	if s.led != nil {
-		got.Mesh, got.Members, got.Slot = s.led.Mesh, s.led.Members, s.slot
+	got := foundGot{Empty: s.state == nil, ID: s.acc.Me().ID, Head: s.leaderAddress, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
+	if s.state != nil {
+		got.Mesh, got.Members, got.Slot = s.state.Mesh, s.state.Members, s.slot
 	}
 	return got, nil
 }
@@ -42,8 +42,8 @@
 
 // begin keeps the founding state as the checkpoint of slot 0.
 func (s *Store) begin(in genesis) error {
-	s.learn.Lock()
-	defer s.learn.Unlock()
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	if !s.empty() {
 		return nil
 	}
@@ -67,7 +67,7 @@
 		s.e.Log.Emit(event.Foreign, "mesh", led.Mesh, "own", mine)
 		return fault.New(fault.Refused, "data of mesh %s", led.Mesh)
 	}
-	err = s.keep(func() error {
+	err = s.writeDurably(func() error {
 		if err := s.acc.Reset(c); err != nil {
 			return err
 		}
@@ -84,11 +84,11 @@
 	s.mu.Unlock()
 	s.e.Log.Emit(say, "mesh", led.Mesh, "slot", c.Slot)
 	// A joiner stays out of the voting until it is a member.
-	s.placed()
+	s.updateRole()
 	return nil
 }
 
-// found gives a mesh its first state, if all seeds are reachable and empty: by
+// found gives a cluster its first state, if all seeds are reachable and empty: by
 // the least of those that may, in whatever order each has them, so that there
 // is never a second founding. The others learn it from its word or, later,
 // from each other.
@@ -117,5 +117,5 @@
 		}
 		return wire.Ask[ack](ctx, s.n, to, "store.genesis", in)
 	}, func(string, ack, error) bool { return false })
-	s.kick(true)
+	s.wakeLoop(true)
 }
--- a/internal/store/holders.go
+++ b/internal/store/holders.go
@@ -15,10 +15,10 @@
 
 // holders counts the members that are known to have applied up to a slot; t.mu
 // is held.
-func (t *term) holders(members []ledger.Member, slot uint64) (n int) {
+func (t *leadership) holders(members []ledger.Member, slot uint64) (n int) {
 	for _, m := range members {
-		has := t.heard[m.ID].slot
-		if sp := t.spares[m.ID]; sp != nil {
+		has := t.contacts[m.ID].slot
+		if sp := t.learners[m.ID]; sp != nil {
 			has = max(has, sp.slot)
 		}
 		if m.ID == t.s.acc.Me().ID {
@@ -33,12 +33,12 @@
 
 // awaitHolders waits until so many of these members hold all that is chosen, a beat
 // at the most. learn is held, so nothing is decided meanwhile.
-func (t *term) awaitHolders(ctx context.Context, members []ledger.Member, need int) bool {
-	for from := time.Now(); ctx.Err() == nil && !t.over(); {
+func (t *leadership) awaitHolders(ctx context.Context, members []ledger.Member, need int) bool {
+	for from := time.Now(); ctx.Err() == nil && !t.ended(); {
 		t.mu.Lock()
 		slot := t.s.slot
 		held := t.holders(members, slot) >= need
-		able := t.holders(members, slot-min(slot, near)) >= need
+		able := t.holders(members, slot-min(slot, learnerLag)) >= need
 		t.mu.Unlock()
 		if held {
 			return true
@@ -49,14 +49,14 @@
 		}
 		// The beat tells them the newest slot; the next one's answers tell that
 		// they have applied it.
-		_ = t.beat(ctx)
+		_ = t.heartbeat(ctx)
 		t.s.e.Pause(ctx, t.s.P.Beat()/40)
 	}
 	return false
 }
 
 // heldByMajority is the guard of a change after which these are the members.
-func (t *term) heldByMajority(then []ledger.Member) func(context.Context) bool {
+func (t *leadership) heldByMajority(then []ledger.Member) func(context.Context) bool {
 	return func(ctx context.Context) bool { return t.awaitHolders(ctx, then, len(then)/2+1) }
 }
 
@@ -79,7 +79,7 @@
 // othersHold tells whether the members but one hold all that is chosen, by a
 // majority of all: only then may that one go with what it has. A leader that goes
 // itself decides nothing after that.
-func (t *term) othersHold(ctx context.Context, leaving string) bool {
+func (t *leadership) othersHold(ctx context.Context, leaving string) bool {
 	guard := func(ctx context.Context) bool {
 		all, _, _ := t.s.members()
 		others := without(all, leaving)
@@ -89,6 +89,6 @@
 		}
 		return held
 	}
-	r, err := t.put(ctx, &offer{guard: guard, back: make(chan done, 1)})
+	r, err := t.submit(ctx, &proposal{guard: guard, result: make(chan outcome, 1)})
 	return err == nil && r.Code == ledger.OK
 }
--- a/internal/store/left.go
+++ b/internal/store/leasegather.go
@@ -26,18 +26,18 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for n, c := range s.locks {
+	for n, c := range s.leases {
 		got.Locks[n] = lockLeft{c.fence, c.renew, c.end.Sub(now).Milliseconds() + 1}
 	}
 	return got, nil
 }
 
-// gather asks the others for their clocks: a writer that was itself restarted
+// gatherLeases asks the others for their clocks: a leader that was itself restarted
 // lately counts locks in full that others saw taken long ago. No clock ends
 // before its holder's own, so the least one is right.
-func (t *term) gather(ctx context.Context) {
+func (t *leadership) gatherLeases(ctx context.Context) {
 	s := t.s
-	who, _ := s.fellows()
+	who, _ := s.memberAddresses()
 	for _, a := range who {
 		if a == s.P.Inner {
 			continue
@@ -46,24 +46,24 @@
 			ctx, end := context.WithTimeout(ctx, s.P.Patience())
 			defer end()
 			if got, err := wire.Ask[leftGot](ctx, s.n, a, "store.left", leftAsk{}); err == nil {
-				s.heedLeft(got)
+				s.adoptLeases(got)
 			}
 		})
 	}
 }
 
-// heedLeft takes over ends that are earlier, of clocks that know the newest
+// adoptLeases takes over ends that are earlier, of clocks that know the newest
 // word on their lock.
-func (s *Store) heedLeft(got leftGot) {
+func (s *Store) adoptLeases(got leftGot) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n, l := range got.Locks {
-		c, ok := s.locks[n]
+		c, ok := s.leases[n]
 		end := now.Add(time.Duration(l.Left) * time.Millisecond)
 		if ok && c.fence == l.Fence && c.renew == l.Renew && end.Before(c.end) {
 			c.end = end
-			s.locks[n] = c
+			s.leases[n] = c
 		}
 	}
 }
--- a/internal/store/leave.go
+++ b/internal/store/leave.go
@@ -16,7 +16,7 @@
 // stays, and the platform would kill it.
 const leaveGrace = 60
 
-// leave hands this member's place to a whole stand-by, before the process ends.
+// leave hands this member's place to a whole learner, before the process ends.
 // Without one the place is kept, since a planned stop is mostly a restart. Either
 // way the process ends only when a majority without it holds all that it has, the
 // change of its place included: its disk may be gone with it, and another's right
@@ -47,11 +47,11 @@
 	return s.isMember(s.acc.Me().ID)
 }
 
-// handOver gives this member's place to a stand-by, by the change in a slot; false
+// handOver gives this member's place to a learner, by the change in a slot; false
 // means that it is kept.
 func (s *Store) handOver(ctx context.Context) (slot uint64, given bool) {
 	s.mu.Lock()
-	t, head, me, num := s.term, s.head, s.acc.Me().ID, s.num
+	t, head, me, num := s.leadership, s.leaderAddress, s.acc.Me().ID, s.num
 	member := s.isMember(me)
 	s.mu.Unlock()
 	switch {
@@ -62,7 +62,7 @@
 		return got.Slot, err == nil && got.Yes
 	case t != nil && t.givePlace(ctx, me):
 		// The term is over with the change; the others need not miss it first.
-		s.vacate(num)
+		s.announceVacancy(num)
 		_, _, slot = s.members()
 		return slot, true
 	}
@@ -74,7 +74,7 @@
 func (s *Store) changeKnown(ctx context.Context, slot uint64) bool {
 	ctx, end := context.WithTimeout(ctx, s.P.Patience())
 	defer end()
-	who, _ := s.fellows()
+	who, _ := s.memberAddresses()
 	has := map[string]uint64{s.acc.Me().ID: slot}
 	var after []ledger.Member
 	for range 2 {
@@ -111,7 +111,7 @@
 		return false
 	}
 	s.mu.Lock()
-	leads := s.term != nil
+	leads := s.leadership != nil
 	s.leaving = !leads
 	s.mu.Unlock()
 	return leads || s.askOthersHold(ctx)
@@ -119,7 +119,7 @@
 
 func (s *Store) askOthersHold(ctx context.Context) bool {
 	s.mu.Lock()
-	t, head, me := s.term, s.head, s.acc.Me().ID
+	t, head, me := s.leadership, s.leaderAddress, s.acc.Me().ID
 	s.mu.Unlock()
 	if t != nil {
 		return t.othersHold(ctx, me)
@@ -136,7 +136,7 @@
 // onLeave hears a member that stops.
 func (s *Store) onLeave(ctx context.Context, _ wire.Hello, in leaveAsk) (ack, error) {
 	s.mu.Lock()
-	t := s.term
+	t := s.leadership
 	s.mu.Unlock()
 	switch {
 	case t == nil:
@@ -149,23 +149,23 @@
 	return ack{Yes: given, Slot: slot}, nil
 }
 
-// givePlace gives a leaving member's place to the best stand-by, if there is one
-// and all the others are in touch. The stand-by is whole after its next word: it
+// givePlace gives a leaving member's place to the best learner, if there is one
+// and all the others are in touch. The learner is whole after its next word: it
 // is waited for, as the one that leaves is still there.
-func (t *term) givePlace(ctx context.Context, old string) bool {
-	t.swaps.Lock()
-	defer t.swaps.Unlock()
-	for ctx.Err() == nil && !t.over() {
+func (t *leadership) givePlace(ctx context.Context, old string) bool {
+	t.changing.Lock()
+	defer t.changing.Unlock()
+	for ctx.Err() == nil && !t.ended() {
 		all, _, _ := t.s.members()
 		t.mu.Lock()
-		able := t.touch(all, old) == len(all)-1 && t.spared(t.s.P.Replace/2)
-		pick := t.best(all, old, t.s.P.Replace/2)
+		able := t.countInTouch(all, old) == len(all)-1 && t.hasLearner(t.s.P.Replace/2)
+		pick := t.bestLearner(all, old, t.s.P.Replace/2)
 		t.mu.Unlock()
 		if !able {
 			return false
 		}
 		if pick != nil {
-			r, err := t.seat(ctx, old, false, pick.m)
+			r, err := t.changeMembers(ctx, old, false, pick.m)
 			if err != nil || r.Code == ledger.OK {
 				return err == nil
 			}
--- a/internal/store/place.go
+++ b/internal/store/membership.go
@@ -13,91 +13,91 @@
 	"puffincrank/internal/wire"
 )
 
-// near is how many versions a stand-by may lack at its word and still count as
+// near is how many entries a learner may lack at its word and still count as
 // whole. What was decided since then says nothing of it: a busy core decides
 // more than that between two words.
-const near = 16
+const learnerLag = 16
 
-// spare is a replica that stands by, as the writer knows it.
-type spare struct {
+// learner is a replica that stands by, as the leader knows it.
+type learner struct {
 	m     ledger.Member
 	slot  uint64    // what it had applied at its newest word
-	lacks uint64    // how many versions it lacked then
+	lacks uint64    // how many entries it lacked then
 	knows int       // the level of commands that it understands
 	since time.Time // from when on it was heard without a gap
 	heard time.Time
 }
 
-// stands notes a stand-by's word.
-func (t *term) stands(in joinAsk) {
+// noteLearner notes a learner's word.
+func (t *leadership) noteLearner(in joinAsk) {
 	_, _, slot := t.s.members()
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sp := t.spares[in.ID]
+	sp := t.learners[in.ID]
 	if sp == nil || now.Sub(sp.heard) > t.s.P.Lease() {
-		sp = &spare{m: ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land}, since: now}
-		t.spares[in.ID] = sp
+		sp = &learner{m: ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land}, since: now}
+		t.learners[in.ID] = sp
 	}
 	sp.slot, sp.heard, sp.knows = in.Slot, now, in.Knows
 	sp.lacks = slot - min(in.Slot, slot)
 }
 
-// stays tells whether a stand-by is there and not about to be gone again. One
+// isSteady tells whether a learner is there and not about to be gone again. One
 // that lost its place a short while ago must stand for longer, or a machine that
 // comes and goes would be swapped in and out. mu is held.
-func (t *term) stays(sp *spare, steady time.Duration) bool {
-	if t.s.ousted[sp.m.Addr].After(time.Now().Add(-t.s.P.CatchUp)) {
+func (t *leadership) isSteady(sp *learner, steady time.Duration) bool {
+	if t.s.replacedAt[sp.m.Addr].After(time.Now().Add(-t.s.P.CatchUp)) {
 		steady = t.s.P.CatchUp / 2
 	}
 	return time.Since(sp.heard) < t.s.P.Lease() && time.Since(sp.since) >= steady
 }
 
-// spared tells whether any stand-by stays, whole or not; mu is held.
-func (t *term) spared(steady time.Duration) bool {
-	for _, sp := range t.spares {
-		if t.stays(sp, steady) {
+// hasLearner tells whether any learner stays, whole or not; mu is held.
+func (t *leadership) hasLearner(steady time.Duration) bool {
+	for _, sp := range t.learners {
+		if t.isSteady(sp, steady) {
 			return true
 		}
 	}
 	return false
 }
 
-// best gives the whole stand-by for the place of a member, or for a free one: of the
+// bestLearner gives the whole learner for the place of a member, or for a free one: of the
 // region and area with the fewest members, so that their loss takes few; mu is
 // held.
-func (t *term) best(all []ledger.Member, old string, steady time.Duration) *spare {
-	var pick *spare
-	for _, sp := range t.spares {
-		if sp.lacks > near || !t.stays(sp, steady) || slices.ContainsFunc(all, func(m ledger.Member) bool { return m.ID == sp.m.ID }) {
+func (t *leadership) bestLearner(all []ledger.Member, old string, steady time.Duration) *learner {
+	var pick *learner
+	for _, sp := range t.learners {
+		if sp.lacks > learnerLag || !t.isSteady(sp, steady) || slices.ContainsFunc(all, func(m ledger.Member) bool { return m.ID == sp.m.ID }) {
 			continue
 		}
-		if pick == nil || cmp.Or(crowded(all, sp.m, pick.m, old), strings.Compare(sp.m.ID, pick.m.ID)) < 0 {
+		if pick == nil || cmp.Or(compareSharing(all, sp.m, pick.m, old), strings.Compare(sp.m.ID, pick.m.ID)) < 0 {
 			pick = sp
 		}
 	}
 	return pick
 }
 
-// touch counts the members that were heard lately, without one; mu is held.
-func (t *term) touch(all []ledger.Member, without string) (n int) {
+// countInTouch counts the members that were heard lately, without one; mu is held.
+func (t *leadership) countInTouch(all []ledger.Member, without string) (n int) {
 	for _, m := range all {
-		if m.ID != without && (m.ID == t.s.acc.Me().ID || time.Since(t.heard[m.ID].at) < t.s.P.Lease()) {
+		if m.ID != without && (m.ID == t.s.acc.Me().ID || time.Since(t.contacts[m.ID].at) < t.s.P.Lease()) {
 			n++
 		}
 	}
 	return n
 }
 
-// place says what may become of a stand-by now: the member whose place it
+// placeFor says what may become of a learner now: the member whose place it
 // takes, or a free place; say tells why neither.
-func (t *term) place(in joinAsk, all []ledger.Member, want int, slot uint64) (old string, free bool, say string) {
+func (t *leadership) placeFor(in joinAsk, all []ledger.Member, want int, slot uint64) (old string, free bool, say string) {
 	if in.Knows < t.s.level() {
 		return "", false, "its program is too old for the commands in use"
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if in.Slot+near < slot {
+	if in.Slot+learnerLag < slot {
 		return "", false, "not refilled yet"
 	}
 	for _, m := range all {
@@ -108,16 +108,16 @@
 	}
 	steady := time.Duration(0)
 	if old == "" {
-		if old = t.missing(all, t.s.P.Replace); old != "" {
+		if old = t.silentMember(all, t.s.P.Replace); old != "" {
 			steady = t.s.P.Replace / 2
 		}
 	}
 	// A place is added only while all are in touch: one more voter must not be
 	// what leaves the others short of a majority.
-	free = old == "" && len(all) < want && t.touch(all, "") == len(all)
-	if old == "" && len(all) >= want && t.touch(all, "") == len(all) {
-		// Nobody is lost, so there is no hurry: a stand-by must have shown that it stays.
-		if old = t.s.shift(all, ledger.Member{ID: in.ID, Area: in.Area, Land: in.Land}); old != "" {
+	free = old == "" && len(all) < want && t.countInTouch(all, "") == len(all)
+	if old == "" && len(all) >= want && t.countInTouch(all, "") == len(all) {
+		// Nobody is lost, so there is no hurry: a learner must have shown that it stays.
+		if old = t.s.memberToMove(all, ledger.Member{ID: in.ID, Area: in.Area, Land: in.Land}); old != "" {
 			steady = t.s.P.Replace / 2
 		}
 	}
@@ -125,7 +125,7 @@
 	case old == "" && !free:
 		return "", false, "stands by: no place is free, and no member is out of touch for long enough"
 	}
-	if pick := t.best(all, old, steady); steady > 0 || free {
+	if pick := t.bestLearner(all, old, steady); steady > 0 || free {
 		if pick == nil || pick.m.ID != in.ID {
 			return "", false, "stands by: another is to have the place, or this one is too new"
 		}
@@ -133,19 +133,19 @@
 	return old, free, ""
 }
 
-// onJoin hears a refilled stand-by, and lets the writer put it in a lost
+// onJoin hears a refilled learner, and lets the leader put it in a lost
 // member's place or in a free one.
 func (s *Store) onJoin(ctx context.Context, _ wire.Hello, in joinAsk) (joinGot, error) {
 	s.mu.Lock()
-	t, got := s.term, joinGot{Head: s.head}
-	if s.led != nil {
+	t, got := s.leadership, joinGot{Head: s.leaderAddress}
+	if s.state != nil {
 		got.Has = s.slot
 	}
 	if t == nil {
 		s.mu.Unlock()
 		return got, nil
 	}
-	mesh := s.led.Mesh
+	mesh := s.state.Mesh
 	got = joinGot{Slot: s.slot, Done: s.isMember(in.ID)}
 	s.mu.Unlock()
 	if in.Mesh != mesh {
@@ -155,19 +155,19 @@
 	if got.Done {
 		return got, nil
 	}
-	t.stands(in)
-	if !t.swaps.TryLock() {
+	t.noteLearner(in)
+	if !t.changing.TryLock() {
 		got.Say = "another change of the members is under way"
 		return got, nil
 	}
-	defer t.swaps.Unlock()
+	defer t.changing.Unlock()
 	all, want, slot := s.members()
-	old, free, say := t.place(in, all, want, slot)
+	old, free, say := t.placeFor(in, all, want, slot)
 	if say != "" {
 		got.Say = say
 		return got, nil
 	}
-	r, err := t.seat(ctx, old, free, ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land})
+	r, err := t.changeMembers(ctx, old, free, ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land})
 	if err != nil {
 		return joinGot{}, err
 	}
@@ -179,17 +179,17 @@
 func (s *Store) level() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.led.Level
+	return s.state.Level
 }
 
 func (s *Store) members() (all []ledger.Member, want int, slot uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.led.Members, s.led.Wanted(), s.slot
+	return s.state.Members, s.state.Wanted(), s.slot
 }
 
-// seat decides a change of the members; swaps is held.
-func (t *term) seat(ctx context.Context, old string, free bool, m ledger.Member) (ledger.Receipt, error) {
+// changeMembers decides a change of the members; swaps is held.
+func (t *leadership) changeMembers(ctx context.Context, old string, free bool, m ledger.Member) (ledger.Receipt, error) {
 	s := t.s
 	all, _, _ := s.members()
 	kind, cmd := "store.replace", ledger.Command(&ledger.ReplaceStore{Old: old, New: m})
@@ -200,12 +200,12 @@
 	if err != nil {
 		return ledger.Receipt{}, err
 	}
-	r, err := t.offerGuarded(ctx, p, nil, t.heldByMajority(withReplaced(all, old, m)))
+	r, err := t.proposeGuarded(ctx, p, nil, t.heldByMajority(withReplaced(all, old, m)))
 	if err == nil && r.Code == ledger.OK {
 		for _, o := range all {
 			if o.ID == old && o.Addr != m.Addr {
 				s.mu.Lock()
-				s.ousted[o.Addr] = time.Now()
+				s.replacedAt[o.Addr] = time.Now()
 				s.mu.Unlock()
 			}
 		}
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -129,7 +129,7 @@
 	Num ballot.Number `msgpack:"n"`
 }
 
-// Offer asks the writer for a command.
+// Offer asks the leader for a command.
 type Offer struct {
 	Cmd ledger.Packed `msgpack:"c"`
 	// Rest is how long before the call's own end the command may last be
@@ -146,7 +146,7 @@
 	Number uint64 `msgpack:"n,omitempty"` // the operator's own number of a configuration
 }
 
-// Given is the writer's word on an offer or a read; Head is set when another
+// Given is the leader's word on an offer or a read; Head is set when another
 // store writes and nothing was done here.
 type Given struct {
 	Head    string          `msgpack:"h"`
@@ -155,7 +155,7 @@
 	Members []ledger.Member `msgpack:"m"`
 }
 
-// Query asks the writer for a confirmed read.
+// Query asks the leader for a confirmed read.
 type Query struct {
 	What  string `msgpack:"w"`
 	Name  string `msgpack:"n"`
@@ -164,7 +164,7 @@
 	Patch bool   `msgpack:"p,omitempty"` // a document is taken as the steps from From
 }
 
-// DutyAsk is a ballot for a duty of the registries.
+// DutyAsk is a ballot for a role of the registries.
 type DutyAsk struct {
 	Duty string        `msgpack:"d"`
 	Num  ballot.Number `msgpack:"n"`
@@ -195,7 +195,7 @@
 }
 
 // Messages lists every message of this package, for the check that a later
-// version still speaks all that the last one did.
+// entry still speaks all that the last one did.
 func Messages() []any {
 	return []any{ballotAsk{}, ballotVote{}, acceptAsk{}, beatAsk{}, ack{}, fetchAsk{}, fetchGot{}, chunkAsk{}, chunkGot{}, foundAsk{}, foundGot{},
 		genesis{}, RemoveAsk{}, joinAsk{}, joinGot{}, vacateAsk{}, leaveAsk{}, Offer{}, Given{}, Query{}, leftAsk{}, leftGot{}, DutyAsk{}, DutyVote{}, Status{}}
--- a/internal/store/puts.go
+++ b/internal/store/puts.go
@@ -10,23 +10,23 @@
 )
 
 // onPuts gives the puts of a group above a revision, and waits for some if
-// there are none. Only the writer answers, after a majority confirmed it: so
+// there are none. Only the leader answers, after a majority confirmed it: so
 // the answer never lags behind what was acknowledged before it was asked for,
 // and a put reaches its watchers at the moment in which it is applied.
 func (s *Store) onPuts(ctx context.Context, _ wire.Hello, in Query) (Given, error) {
-	t, g := s.standing()
+	t, g := s.currentLeadership()
 	if t == nil {
 		return g, nil
 	}
-	if err := t.sure(ctx); err != nil {
+	if err := t.confirmLeadership(ctx); err != nil {
 		return g, err
 	}
 	end := time.NewTimer(time.Duration(in.Wait) * time.Millisecond)
 	defer end.Stop()
 	for last := false; ; {
 		s.mu.Lock()
-		got, rev, ok := s.led.After(in.Name, in.From)
-		turn := s.turn
+		got, rev, ok := s.state.After(in.Name, in.From)
+		turn := s.applied
 		s.mu.Unlock()
 		g.Done = true
 		switch {
--- a/internal/store/ready.go
+++ b/internal/store/ready.go
@@ -14,23 +14,23 @@
 
 // status tells how this store stands.
 func (s *Store) status() Status {
-	_, quiet := s.vote.Vow()
+	_, quiet := s.voter.Vow()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Status{Node: s.P.Node, Addr: s.P.Inner, Area: s.P.Area, Role: s.role.Now(), Slot: s.slot, Head: s.head, Ballot: s.acc.Vow().String(), Ill: s.ill || s.hung()}
-	if s.led != nil {
-		out.Members, out.Config = s.led.Members, s.led.Config().Version
+	out := Status{Node: s.P.Node, Addr: s.P.Inner, Area: s.P.Area, Role: s.role.Now(), Slot: s.slot, Head: s.leaderAddress, Ballot: s.acc.Vow().String(), Ill: s.diskIll || s.diskHangs()}
+	if s.state != nil {
+		out.Members, out.Config = s.state.Members, s.state.Config().Version
 	}
 	switch {
-	case s.shut:
+	case s.stopping:
 		out.Why = "stopping"
-	case out.Role == "spare" && time.Since(s.joined) > s.P.Lease():
+	case out.Role == "spare" && time.Since(s.lastJoined) > s.P.Lease():
 		out.Why = "stands by, but no writer answers"
-	case s.led == nil || out.Role == "empty":
+	case s.state == nil || out.Role == "empty":
 		out.Why = "empty: waits for the founding or a place"
 	case out.Ill:
 		out.Why = "the disk refuses or is slow"
-	case out.Role != "spare" && s.term == nil && (out.Role != "follow" || quiet > s.P.Lease()):
+	case out.Role != "spare" && s.leadership == nil && (out.Role != "follow" || quiet > s.P.Lease()):
 		out.Why = "no writer is heard"
 	}
 	out.Ready = out.Why == ""
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -14,8 +14,8 @@
 			return err
 		}
 	}
-	s.vote = ballot.NewVoter(s.acc.Vow(), s.P.Vacant(), s.promise)
-	s.seen = s.acc.Vow().Round
+	s.voter = ballot.NewVoter(s.acc.Vow(), s.P.Vacant(), s.promise)
+	s.highestRound = s.acc.Vow().Round
 	point, err := s.acc.Snapshot()
 	if err != nil || point == nil {
 		return err
@@ -32,9 +32,9 @@
 			return err
 		}
 	}
-	s.placed()
+	s.updateRole()
 	// Whoever wrote last knows that nobody does since it ended.
-	s.again = s.role.Is("follow") && s.acc.Vow().Who == s.acc.Me().ID
+	s.campaignNow = s.role.Is("follow") && s.acc.Vow().Who == s.acc.Me().ID
 	return nil
 }
 
@@ -45,17 +45,17 @@
 		return err
 	}
 	s.mu.Lock()
-	s.led, s.slot, s.sum = led, c.Slot, c.Sum
+	s.state, s.slot, s.sum = led, c.Slot, c.Sum
 	s.measured(len(c.State))
-	s.wind()
-	s.stir()
+	s.restartLeases()
+	s.announceApplied()
 	s.mu.Unlock()
 	return nil
 }
 
 // memberIDs lists the members' identities; mu is held.
 func (s *Store) memberIDs() (out []string) {
-	for _, m := range s.led.Members {
+	for _, m := range s.state.Members {
 		out = append(out, m.ID)
 	}
 	return out
--- a/internal/store/missing.go
+++ b/internal/store/remove.go
@@ -11,11 +11,11 @@
 	"puffincrank/internal/wire"
 )
 
-// missing names the member that has not answered for longest, and for longer
+// silentMember names the member that has not answered for longest, and for longer
 // than the bound; mu is held.
-func (t *term) missing(members []ledger.Member, bound time.Duration) (id string) {
+func (t *leadership) silentMember(members []ledger.Member, bound time.Duration) (id string) {
 	for _, m := range members {
-		if at := t.heard[m.ID].at; m.ID != t.s.acc.Me().ID && time.Since(at) > bound && (id == "" || at.Before(t.heard[id].at)) {
+		if at := t.contacts[m.ID].at; m.ID != t.s.acc.Me().ID && time.Since(at) > bound && (id == "" || at.Before(t.contacts[id].at)) {
 			id = m.ID
 		}
 	}
@@ -26,7 +26,7 @@
 // who stay could not decide at once without it: fewer than two, or one of them
 // out of touch.
 func (s *Store) onRemove(ctx context.Context, _ wire.Hello, in RemoveAsk) (Given, error) {
-	t, g := s.standing()
+	t, g := s.currentLeadership()
 	if t == nil {
 		return g, nil
 	}
@@ -36,7 +36,7 @@
 	for _, m := range g.Members {
 		if m.ID == in.ID {
 			found = true
-		} else if m.ID == s.acc.Me().ID || time.Since(t.heard[m.ID].at) < s.P.Lease() {
+		} else if m.ID == s.acc.Me().ID || time.Since(t.contacts[m.ID].at) < s.P.Lease() {
 			stay++
 		}
 	}
@@ -54,28 +54,28 @@
 	if err != nil {
 		return g, fault.Wrap(fault.Refused, err, "remove")
 	}
-	g.Receipt, err = t.offerGuarded(ctx, p, in.Once, t.heldByMajority(without(g.Members, in.ID)))
+	g.Receipt, err = t.proposeGuarded(ctx, p, in.Once, t.heldByMajority(without(g.Members, in.ID)))
 	return g, err
 }
 
-// succeeds hears which replica stands at an address. Another than the holder of
-// the duty at the holder's own means that the holder's disk is lost, and its
-// process with it: the duty is vacant, and need not be missed for a time first.
-func (s *Store) succeeds(id, addr string) {
-	vow, quiet := s.vote.Vow()
+// noteSuccessor hears which replica stands at an address. Another than the holder of
+// the leadership at the holder's own means that the holder's disk is lost, and its
+// process with it: the leadership is vacant, and need not be missed for a time first.
+func (s *Store) noteSuccessor(id, addr string) {
+	vow, quiet := s.voter.Vow()
 	if id == vow.Who || quiet >= s.P.Vacant() || !s.votes() {
 		return
 	}
 	s.mu.Lock()
-	lost := slices.ContainsFunc(s.led.Members, func(m ledger.Member) bool { return m.ID == vow.Who && m.Addr == addr })
+	lost := slices.ContainsFunc(s.state.Members, func(m ledger.Member) bool { return m.ID == vow.Who && m.Addr == addr })
 	s.mu.Unlock()
 	if !lost {
 		return
 	}
-	s.vote.Vacate(vow)
-	at := time.Now().Add(s.turnOf(vow))
+	s.voter.Vacate(vow)
+	at := time.Now().Add(s.campaignDelay(vow))
 	s.mu.Lock()
-	s.free = at
+	s.campaignFrom = at
 	s.mu.Unlock()
-	s.kick(false)
+	s.wakeLoop(false)
 }
--- a/internal/store/requests.go
+++ b/internal/store/requests.go
@@ -16,7 +16,7 @@
 // once. While a member has never been known to read them, the commands are
 // proposed as they are, and an order that is sent again is judged by what stands
 // alone. learn is held.
-func (s *Store) wrapRequests(batch []*offer) {
+func (s *Store) wrapRequests(batch []*proposal) {
 	if s.level() < ledger.LevelRequests {
 		return
 	}
@@ -32,13 +32,13 @@
 }
 
 // raiseLevel proposes the level of this program's commands once all members and
-// stand-bys are known to be of it.
-func (t *term) raiseLevel(ctx context.Context) {
+// learners are known to be of it.
+func (t *leadership) raiseLevel(ctx context.Context) {
 	if t.s.level() >= ledger.Level || !t.versed(ledger.Level) {
 		return
 	}
 	if p, err := ledger.Pack("level.raise", &ledger.RaiseLevel{To: ledger.Level}); err == nil {
-		_, _ = t.offer(ctx, p)
+		_, _ = t.propose(ctx, p)
 	}
 }
 
@@ -54,7 +54,7 @@
 	if n := len(s.requestMarks); n > 0 && now.Sub(s.requestMarks[n-1].at) < s.P.Return {
 		return
 	}
-	s.requestMarks = append(s.requestMarks, requestMark{now, s.led.TotalRequests()})
+	s.requestMarks = append(s.requestMarks, requestMark{now, s.state.TotalRequests()})
 }
 
 // trimRequests gives the command that forgets requests answered too long ago, or
@@ -69,7 +69,7 @@
 	}
 	to := s.requestMarks[old-1].total
 	s.requestMarks = append([]requestMark(nil), s.requestMarks[old:]...)
-	if to <= s.led.Forgotten {
+	if to <= s.state.Forgotten {
 		return nil
 	}
 	return &ledger.TrimRequests{To: to}
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -9,20 +9,20 @@
 	"puffincrank/internal/wire"
 )
 
-// standing gives the term that stands here, or where the writer is.
-func (s *Store) standing() (*term, Given) {
+// currentLeadership gives the term that stands here, or where the leader is.
+func (s *Store) currentLeadership() (*leadership, Given) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := Given{Head: s.head}
-	if s.led != nil {
-		g.Members = s.led.Members
+	g := Given{Head: s.leaderAddress}
+	if s.state != nil {
+		g.Members = s.state.Members
 	}
-	return s.term, g
+	return s.leadership, g
 }
 
 // onOffer takes a command from a registry.
 func (s *Store) onOffer(ctx context.Context, _ wire.Hello, in Offer) (Given, error) {
-	t, g := s.standing()
+	t, g := s.currentLeadership()
 	if t == nil {
 		return g, nil
 	}
@@ -31,15 +31,15 @@
 	if err != nil {
 		return g, fault.Wrap(fault.Refused, err, "offer")
 	}
-	o := &offer{cmd: in.Cmd, in: cmd, once: in.Once, back: make(chan done, 1)}
+	o := &proposal{cmd: in.Cmd, in: cmd, once: in.Once, result: make(chan outcome, 1)}
 	if end, ok := ctx.Deadline(); ok {
-		o.by = end.Add(-time.Duration(in.Rest) * time.Millisecond)
+		o.latest = end.Add(-time.Duration(in.Rest) * time.Millisecond)
 	}
 	// What is read right after a freeze may be as old as the freeze.
-	if in.Rest > 0 && s.dazed() {
+	if in.Rest > 0 && s.justResumed() {
 		return g, fault.New(fault.Refused, "frozen until just now")
 	}
-	r, err := t.put(ctx, o)
+	r, err := t.submit(ctx, o)
 	if err != nil {
 		return g, err
 	}
@@ -47,35 +47,35 @@
 	return g, nil
 }
 
-// dazed tells that this process was frozen until just now.
-func (s *Store) dazed() bool { return time.Since(s.pulse.Woke()) < s.P.Beat() }
+// justResumed tells that this process was frozen until just now.
+func (s *Store) justResumed() bool { return time.Since(s.pulse.Woke()) < s.P.Beat() }
 
 // onRead answers a confirmed read: a majority is asked after it arrived.
 func (s *Store) onRead(ctx context.Context, _ wire.Hello, in Query) (Given, error) {
-	t, g := s.standing()
+	t, g := s.currentLeadership()
 	if t == nil {
 		return g, nil
 	}
 	if in.What == "config" && in.Wait > 0 {
 		t.await(ctx, in.From, time.Duration(in.Wait)*time.Millisecond)
 	}
-	if err := t.sure(ctx); err != nil {
+	if err := t.confirmLeadership(ctx); err != nil {
 		return g, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g.Done, g.Receipt = true, s.stepped(in, s.led.Read(in.What, in.Name, in.From))
-	g.Members = s.led.Members
+	g.Done, g.Receipt = true, s.stepped(in, s.state.Read(in.What, in.Name, in.From))
+	g.Members = s.state.Members
 	return g, nil
 }
 
-// await holds a poll until a version above from stands or the wait is over.
-func (t *term) await(ctx context.Context, from uint64, wait time.Duration) {
+// await holds a poll until an entry above from stands or the wait is over.
+func (t *leadership) await(ctx context.Context, from uint64, wait time.Duration) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
 		t.s.mu.Lock()
-		turn, now := t.s.turn, t.s.led.Config().Version
+		turn, now := t.s.applied, t.s.state.Config().Version
 		t.s.mu.Unlock()
 		if now > from {
 			return
@@ -99,12 +99,12 @@
 	defer end.Stop()
 	for {
 		s.mu.Lock()
-		if s.led == nil {
+		if s.state == nil {
 			s.mu.Unlock()
 			return Given{}, fault.New(fault.Refused, "empty")
 		}
-		got, ok := s.led.Since(in.Name, in.From, 256)
-		turn, rev, oldest := s.turn, s.led.Rev, s.led.Oldest
+		got, ok := s.state.Since(in.Name, in.From, 256)
+		turn, rev, oldest := s.applied, s.state.Rev, s.state.Oldest
 		s.mu.Unlock()
 		if !ok {
 			return Given{Done: true, Receipt: ledger.Receipt{Code: ledger.Gone, Rev: oldest}}, nil
--- a/internal/store/shorten.go
+++ b/internal/store/shorten.go
@@ -5,16 +5,16 @@
 // versed tells whether all who vote, and those who stand by, know a level of
 // the commands, each by its newest word in this term: one that stops at a
 // command that it doesn't know would be lost to the others.
-func (t *term) versed(level int) bool {
+func (t *leadership) versed(level int) bool {
 	all, _, _ := t.s.members()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range all {
-		if m.ID != t.s.acc.Me().ID && t.heard[m.ID].knows < level {
+		if m.ID != t.s.acc.Me().ID && t.contacts[m.ID].knows < level {
 			return false
 		}
 	}
-	for _, sp := range t.spares {
+	for _, sp := range t.learners {
 		if sp.knows < level {
 			return false
 		}
@@ -23,9 +23,9 @@
 }
 
 // shorten puts the first document of a batch as the step from the one that
-// stands, which is all that changes from version to version of most. Those
+// stands, which is all that changes from entry to entry of most. Those
 // after it begin at another document, and stay whole. learn is held.
-func (t *term) shorten(batch []*offer) {
+func (t *leadership) shorten(batch []*proposal) {
 	for _, o := range batch {
 		switch o.in.(type) {
 		case *ledger.Propose, *ledger.Decide:
@@ -35,7 +35,7 @@
 				return
 			}
 			t.s.mu.Lock()
-			now := t.s.led.Config()
+			now := t.s.state.Config()
 			t.s.mu.Unlock()
 			if c := ledger.Shorten(o.in, now); c != nil {
 				if p, err := ledger.Pack("config.step", c); err == nil {
--- a/internal/store/shorten_test.go
+++ b/internal/store/shorten_test.go
@@ -12,7 +12,7 @@
 	"puffincrank/internal/paxos"
 )
 
-// TestVersed: steps are proposed only while every voter and every stand-by is
+// TestVersed: steps are proposed only while every voter and every learner is
 // known to understand them, and only for the first document of a batch.
 func TestVersed(t *testing.T) {
 	dir, err := disk.Open(t.TempDir())
@@ -27,39 +27,39 @@
 		t.Fatal(err)
 	}
 	doc := func(n int) []byte { return append(bytes.Repeat([]byte(`{"a":1}`), 60), fmt.Sprint(n)...) }
-	s := &Store{acc: acc, led: ledger.New("m", []ledger.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}})}
-	(&ledger.SetConfig{Doc: doc(1)}).Apply(s.led)
-	kinds := func(t2 *term) string {
-		var batch []*offer
+	s := &Store{acc: acc, state: ledger.New("m", []ledger.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}})}
+	(&ledger.SetConfig{Doc: doc(1)}).Apply(s.state)
+	kinds := func(t2 *leadership) string {
+		var batch []*proposal
 		for i := range 2 {
 			c := &ledger.NumberConfig{Number: uint64(7 + i), Doc: doc(2 + i)}
 			p, err := ledger.Pack("config.number", c)
 			if err != nil {
 				t.Fatal(err)
 			}
-			batch = append(batch, &offer{cmd: p, in: c})
+			batch = append(batch, &proposal{cmd: p, in: c})
 		}
 		t2.shorten(batch)
 		return batch[0].cmd.Kind + " " + batch[1].cmd.Kind
 	}
 	const long, short = "config.number config.number", "config.step config.number"
-	w := &term{s: s, num: ballot.Number{Round: 1, Who: "a"}, heard: map[string]word{}, spares: map[string]*spare{}}
+	w := &leadership{s: s, num: ballot.Number{Round: 1, Who: "a"}, contacts: map[string]peerContact{}, learners: map[string]*learner{}}
 	for i, c := range []struct {
 		b, c  int
 		spare int // -1 for none
 		want  string
 	}{{0, 0, -1, long}, {1, 0, -1, long}, {0, 1, -1, long}, {1, 1, -1, short}, {1, 1, 0, long}, {1, 1, 1, short}, {2, 3, -1, short}} {
-		w.heard = map[string]word{"b": {at: time.Now(), knows: c.b}, "c": {at: time.Now(), knows: c.c}}
-		w.spares = map[string]*spare{}
+		w.contacts = map[string]peerContact{"b": {at: time.Now(), knows: c.b}, "c": {at: time.Now(), knows: c.c}}
+		w.learners = map[string]*learner{}
 		if c.spare >= 0 {
-			w.spares["d"] = &spare{knows: c.spare}
+			w.learners["d"] = &learner{knows: c.spare}
 		}
 		if got := kinds(w); got != c.want {
 			t.Errorf("%d: %s, not %s", i, got, c.want)
 		}
 	}
-	// One that has not been heard in this term may be of any version.
-	w.heard = map[string]word{"b": {knows: 1}}
+	// One that has not been heard in this term may be of any entry.
+	w.contacts = map[string]peerContact{"b": {knows: 1}}
 	if got := kinds(w); got != long {
 		t.Errorf("one not heard: %s", got)
 	}
--- a/internal/store/size.go
+++ b/internal/store/size.go
@@ -65,11 +65,11 @@
 
 // withinSize gives the commands of a batch that fit the state, and answers the
 // others: nothing of them was done. learn is held.
-func (s *Store) withinSize(batch []*offer) (out []*offer) {
+func (s *Store) withinSize(batch []*proposal) (out []*proposal) {
 	size := 0
 	for _, o := range batch {
 		if !s.fits(o.in, size+len(o.cmd.Body)) {
-			o.back <- done{r: ledger.Receipt{Code: ledger.Full, Say: "the replicated state is at its bound"}}
+			o.result <- outcome{receipt: ledger.Receipt{Code: ledger.Full, Say: "the replicated state is at its bound"}}
 			continue
 		}
 		size += len(o.cmd.Body)
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -97,12 +97,12 @@
 
 // packState packs the state of now; mu is held.
 func (s *Store) packState() (*paxos.Checkpoint, error) {
-	raw, err := s.led.Pack()
+	raw, err := s.state.Pack()
 	if err != nil {
 		return nil, err
 	}
 	s.measured(len(raw))
-	point := s.pointOf(raw)
+	point := s.checkpointOf(raw)
 	return &point, nil
 }
 
--- a/internal/store/snapshot_test.go
+++ b/internal/store/snapshot_test.go
@@ -85,14 +85,14 @@
 			t.Errorf("%d entries are left, more %v", len(rest), more)
 		}
 		mine := ballot.Number{Round: 2, Who: s.acc.Me().ID}
-		s.vote = ballot.NewVoter(mine, s.P.Vacant(), s.promise)
+		s.voter = ballot.NewVoter(mine, s.P.Vacant(), s.promise)
 		s.role.Fire("stand")
 		vote := ballotVote{ID: mine.Who, Yes: true, Entries: told[:2], More: true}
-		if s.prepare(t.Context(), mine, s.body(), []ballotVote{vote}, []string{"me:1"}) {
+		if s.prepare(t.Context(), mine, s.memberSet(), []ballotVote{vote}, []string{"me:1"}) {
 			t.Error("it leads by a vote that was cut")
 		}
-		if s.slot != 2 || s.term != nil || !s.again {
-			t.Errorf("slot %d is applied, stands again %v", s.slot, s.again)
+		if s.slot != 2 || s.leadership != nil || !s.campaignNow {
+			t.Errorf("slot %d is applied, stands again %v", s.slot, s.campaignNow)
 		}
 	})
 }
@@ -103,7 +103,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, road := alone(t)
 		defer s.Kill()
-		led := ledger.New("m", s.led.Members)
+		led := ledger.New("m", s.state.Members)
 		led.Rev = 77
 		led.Keys["large"] = ledger.Key{Value: bytes.Repeat([]byte("x"), 3*snapshotChunk), Rev: 77}
 		state, err := led.Pack()
@@ -146,8 +146,8 @@
 		} {
 			spoil = c.spoil
 			err := s.fetchSnapshot(t.Context(), "sender:1", c.head)
-			if !fault.Is(err, fault.Input) || !strings.Contains(err.Error(), c.fault) || s.led.Rev == 77 || s.loading != nil {
-				t.Errorf("%s: %v, revision %d", c.name, err, s.led.Rev)
+			if !fault.Is(err, fault.Input) || !strings.Contains(err.Error(), c.fault) || s.state.Rev == 77 || s.loading != nil {
+				t.Errorf("%s: %v, revision %d", c.name, err, s.state.Rev)
 			}
 		}
 		// The sender goes in the middle; what has come is kept.
@@ -161,8 +161,8 @@
 			t.Fatalf("a break: %v", err)
 		}
 		asked, spoil = 0, func(*chunkGot) error { return nil }
-		if err := s.fetchSnapshot(t.Context(), "sender:1", good); err != nil || s.led.Rev != 77 || s.slot != 9 {
-			t.Fatalf("after the break: %v, revision %d", err, s.led.Rev)
+		if err := s.fetchSnapshot(t.Context(), "sender:1", good); err != nil || s.state.Rev != 77 || s.slot != 9 {
+			t.Fatalf("after the break: %v, revision %d", err, s.state.Rev)
 		}
 		if asked != 2 {
 			t.Errorf("%d chunks were fetched after the break", asked)
--- a/internal/store/split_test.go
+++ b/internal/store/split_test.go
@@ -32,8 +32,8 @@
 			t.Fatal(err)
 		}
 		defer s.Kill()
-		s.led = ledger.New("m", nil)
-		s.led.Members = append(s.led.Members, ledger.Member{ID: s.acc.Me().ID, Addr: "me:1"}, ledger.Member{ID: "w", Addr: "w:1"})
+		s.state = ledger.New("m", nil)
+		s.state.Members = append(s.state.Members, ledger.Member{ID: s.acc.Me().ID, Addr: "me:1"}, ledger.Member{ID: "w", Addr: "w:1"})
 		type said struct {
 			at  time.Time
 			num ballot.Number
@@ -42,7 +42,7 @@
 		g := task.New(context.Background())
 		defer g.Stop()
 		for _, id := range []string{"b", "c", "d"} {
-			s.led.Members = append(s.led.Members, ledger.Member{ID: id, Addr: id + ":1"})
+			s.state.Members = append(s.state.Members, ledger.Member{ID: id, Addr: id + ":1"})
 			n := wire.NewNode(wire.Hello{Mesh: "m", Node: id}, env.Env{Net: road, Wall: time.Now, Log: event.New(id, nil)}, g, 1<<20, 8, time.Second)
 			wire.On(n, "store.ballot", func(_ context.Context, _ wire.Hello, in ballotAsk) (ballotVote, error) {
 				if in.Real {
@@ -61,8 +61,8 @@
 			defer n.Close()
 		}
 		s.role.Fire("filled")
-		s.vote = ballot.NewVoter(ballot.Number{Round: 7, Who: "w"}, p.Vacant(), s.promise)
-		s.g.Go("life", s.life)
+		s.voter = ballot.NewVoter(ballot.Number{Round: 7, Who: "w"}, p.Vacant(), s.promise)
+		s.g.Go("life", s.run)
 		<-time.After(3 * p.Vacant())
 		synctest.Wait()
 		if len(asked) < 6 || len(left) < 3 {
--- a/internal/store/resign.go
+++ b/internal/store/stepdown.go
@@ -9,54 +9,54 @@
 	"puffincrank/internal/wire"
 )
 
-// depose ends the term that stands, if any.
-func (s *Store) depose(why string) {
+// stepDown ends the term that stands, if any.
+func (s *Store) stepDown(why string) {
 	s.mu.Lock()
-	t := s.term
-	s.term = nil
+	t := s.leadership
+	s.leadership = nil
 	if t != nil {
 		t.mu.Lock()
-		s.sight = sight{time.Now(), t.heard}
+		s.formerTerm = formerTerm{time.Now(), t.contacts}
 		t.mu.Unlock()
 	}
-	if t != nil && s.head == s.P.Inner {
-		s.head = ""
+	if t != nil && s.leaderAddress == s.P.Inner {
+		s.leaderAddress = ""
 	}
 	s.mu.Unlock()
 	if t == nil {
 		return
 	}
-	t.end()
+	t.stop()
 	s.role.Fire("lose")
-	s.kick(false)
+	s.wakeLoop(false)
 	s.e.Log.Emit(event.Lost, "duty", "writer", "why", why)
 }
 
-// resign gives the duty up and tells the voters that it is vacant.
-func (s *Store) resign(why string) {
+// transferLeadership gives the leadership up and tells the voters that it is vacant.
+func (s *Store) transferLeadership(why string) {
 	s.mu.Lock()
-	t, num := s.term, s.num
+	t, num := s.leadership, s.num
 	s.mu.Unlock()
 	if t == nil {
 		return
 	}
 	// What was offered is decided first, so that no outcome stays unknown for
-	// a planned stop; new offers are refused and go to the next writer.
+	// a planned stop; new offers are refused and go to the next leader.
 	t.shut.Store(true)
-	for from := time.Now(); t.held.Load() > 0 && !t.over() && time.Since(from) < s.P.Lease(); {
+	for from := time.Now(); t.pending.Load() > 0 && !t.ended() && time.Since(from) < s.P.Lease(); {
 		w := time.NewTimer(s.P.Beat() / 20)
 		<-w.C
 	}
-	s.depose(why)
-	s.vacate(num)
+	s.stepDown(why)
+	s.announceVacancy(num)
 }
 
-// vacate tells the voters that the duty is free.
-func (s *Store) vacate(num ballot.Number) {
+// announceVacancy tells the voters that the leadership is free.
+func (s *Store) announceVacancy(num ballot.Number) {
 	ctx, end := context.WithTimeout(context.Background(), s.P.Beat())
 	defer end()
-	who, _ := s.fellows()
-	s.vote.Vacate(num)
+	who, _ := s.memberAddresses()
+	s.voter.Vacate(num)
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (ack, error) {
 		if to == s.P.Inner {
 			return ack{}, nil
--- a/internal/store/steps.go
+++ b/internal/store/steps.go
@@ -14,7 +14,7 @@
 	}
 	if s.step.From != in.From || s.step.To != r.Version {
 		var old []byte
-		for _, c := range s.led.Configs {
+		for _, c := range s.state.Configs {
 			if c.Version == in.From {
 				old = c.Doc
 			}
--- a/internal/store/steps_test.go
+++ b/internal/store/steps_test.go
@@ -10,7 +10,7 @@
 	"puffincrank/internal/patch"
 )
 
-// TestStepped: who polls with a version that is kept gets the step from there,
+// TestStepped: who polls with an entry that is kept gets the step from there,
 // if it takes steps and the step is worth it; all others get the whole.
 func TestStepped(t *testing.T) {
 	doc := func(change int) []byte {
@@ -20,15 +20,15 @@
 		}
 		return []byte(strings.Join(rows, ","))
 	}
-	s := &Store{led: ledger.New("m", nil)}
+	s := &Store{state: ledger.New("m", nil)}
 	docs := [][]byte{doc(1), append(doc(1), `,{"name":"more"}`...), doc(7)}
 	for i, d := range docs {
-		(&ledger.SetConfig{Base: uint64(i), Doc: d}).Apply(s.led)
+		(&ledger.SetConfig{Base: uint64(i), Doc: d}).Apply(s.state)
 	}
 	held := patch.NewHeld(4)
 	for i, c := range []struct {
 		q    Query
-		at   int // how many versions are there
+		at   int // how many entries are there
 		step bool
 	}{
 		{Query{What: "config", From: 1, Patch: true}, 2, true},
@@ -38,9 +38,9 @@
 		{Query{What: "config", From: 2, Patch: true}, 3, false}, // most rows differ
 		{Query{What: "config", From: 1, Patch: true}, 2, true},
 	} {
-		led := *s.led
-		led.Configs = s.led.Configs[:c.at]
-		one := &Store{led: &led, step: s.step}
+		led := *s.state
+		led.Configs = s.state.Configs[:c.at]
+		one := &Store{state: &led, step: s.step}
 		r := one.stepped(c.q, led.Read("config", "", c.q.From))
 		s.step = one.step
 		if c.q.From > uint64(c.at) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,5 +1,5 @@
 // Package store is the program that keeps the agreed versions on disk. A
-// standing writer, won by ballots, proposes one batch of commands at a time;
+// standing leader, won by ballots, proposes one batch of commands at a time;
 // a majority syncs it as one file each before it is acknowledged.
 package store
 
@@ -27,54 +27,54 @@
 // Store is one process. Lock order: learn, then imaging, then mu, then the
 // acceptor's own.
 type Store struct {
-	P    props.Props
-	e    env.Env
-	g    *task.Group
-	n    *wire.Node
-	acc  *paxos.Acceptor
-	vote *ballot.Voter
-	role *state.Machine
-
-	learn   task.Lock // one at a time extends the applied state
-	points  task.Lock // one checkpoint at a time
-	imaging task.Lock // one image of the state is made at a time
-	pulse   *pulse.Pulse
-	born    time.Time
+	P     props.Props
+	e     env.Env
+	g     *task.Group
+	n     *wire.Node
+	acc   *paxos.Acceptor
+	voter *ballot.Voter
+	role  *state.Machine
+
+	applying      task.Lock // one at a time extends the applied state
+	checkpointing task.Lock // one checkpoint at a time
+	imaging       task.Lock // one image of the state is made at a time
+	pulse         *pulse.Pulse
+	born          time.Time
 
 	mu sync.Mutex // guards all fields below but loading, which learn guards
 
 	// The applied state.
-	led  *ledger.State
-	slot uint64
-	sum  []byte
-	turn chan struct{} // closed at each applied entry
-	step patch.Step    // the last that a poll was given
+	state   *ledger.State
+	slot    uint64
+	sum     []byte
+	applied chan struct{} // closed at each applied entry
+	step    patch.Step    // the last that a poll was given
 
 	// Leadership and membership.
-	num     ballot.Number        // our ballot while we stand or lead
-	head    string               // the inner address of the leader, as last heard
-	seen    uint64               // the highest round seen anywhere
-	term    *term                // set while we lead
-	tired   time.Time            // until when we leave the leadership to others
-	again   bool                 // stand at once, whoever is still heard
-	rouse   func()               // ends the wait of the loop of life
-	shut    bool                 // a polite stop has begun
-	leaving bool                 // this member accepts nothing more: the others hold what it has
-	sight   sight                // what our last term knew of the members
-	joined  time.Time            // when the leader last answered this stand-by
-	free    time.Time            // after a leader gave up: from when on we stand
-	ousted  map[string]time.Time // address to when its store lost its place
-	small   time.Time            // from when on a small core is worth a warning
-	warned  time.Time            // when a foreign mesh was last named
-	duty    map[string]*ballot.Voter
+	num           ballot.Number        // our ballot while we stand or lead
+	leaderAddress string               // the inner address of the leader, as last heard
+	highestRound  uint64               // the highest round seen anywhere
+	leadership    *leadership          // set while we lead
+	restsUntil    time.Time            // until when we leave the leadership to others
+	campaignNow   bool                 // stand at once, whoever is still heard
+	wake          func()               // ends the wait of the loop of life
+	stopping      bool                 // a polite stop has begun
+	leaving       bool                 // this member accepts nothing more: the others hold what it has
+	formerTerm    formerTerm           // what our last term knew of the members
+	lastJoined    time.Time            // when the leader last answered this learner
+	campaignFrom  time.Time            // after a leader gave up: from when on we stand
+	replacedAt    map[string]time.Time // address to when its store lost its place
+	smallSince    time.Time            // from when on a small core is worth a warning
+	foreignWarned time.Time            // when a foreign cluster was last named
+	duty          map[string]*ballot.Voter
 
 	// The disk.
-	ill   bool                 // it refuses or is slow
-	bad   bool                 // the newest write was refused
-	wrote uint64               // writes begun
-	under map[uint64]time.Time // writes under way, from when on
-	eased time.Time            // when a full disk was last to be freed by a checkpoint
-	later time.Time            // until when a checkpoint that failed is not tried again
+	diskIll         bool                 // it refuses or is slow
+	lastWriteFailed bool                 // the newest write was refused
+	writesBegun     uint64               // writes begun
+	writesUnderWay  map[uint64]time.Time // writes under way, from when on
+	easedAt         time.Time            // when a full disk was last to be freed by a checkpoint
+	checkpointAfter time.Time            // until when a checkpoint that failed is not tried again
 
 	// Snapshots and the size of the state, in bytes.
 	image       *image    // the snapshot that is being sent, if any
@@ -85,9 +85,9 @@
 	warnedLarge time.Time // when a state near its bound was last named
 
 	// What this store's own clock says of the state.
-	locks        map[string]clock // when each lock's time runs out
-	past         []mark           // which revisions stood when
-	requestMarks []requestMark    // how many requests had been answered when
+	leases        map[string]lease // when each lock's time runs out
+	revisionMarks []revisionMark   // which revisions stood when
+	requestMarks  []requestMark    // how many requests had been answered when
 }
 
 // New readies a store over its folder.
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{learn: task.NewLock(), points: task.NewLock(), imaging: task.NewLock(), under: map[uint64]time.Time{}, P: p, e: e, g: task.New(context.Background()).Pace(e.Pause), acc: acc, born: time.Now(), ousted: map[string]time.Time{}, turn: make(chan struct{}), duty: map[string]*ballot.Voter{}}
+	s := &Store{applying: task.NewLock(), checkpointing: task.NewLock(), imaging: task.NewLock(), writesUnderWay: map[uint64]time.Time{}, P: p, e: e, g: task.New(context.Background()).Pace(e.Pause), acc: acc, born: time.Now(), replacedAt: map[string]time.Time{}, applied: make(chan struct{}), duty: map[string]*ballot.Voter{}}
 	s.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "store"}, e, s.g, p.Frame, p.Jobs, p.Patience())
 	s.n.Bound = p.Links()
 	s.pulse = pulse.New(p.Beat(), p.Doze(), nil)
@@ -121,20 +121,20 @@
 
 // promise keeps a ballot number on disk.
 func (s *Store) promise(n ballot.Number) error {
-	return s.keep(func() error { return s.acc.Promise(n) })
+	return s.writeDurably(func() error { return s.acc.Promise(n) })
 }
 
-// placed moves the role on once something is held: a member votes, another
+// updateRole moves the role on once something is held: a member votes, another
 // stands by.
-func (s *Store) placed() {
-	// Whoever gave the place has the duty, or is about to.
-	free := time.Now().Add(s.P.Vacant() + s.turnOf(ballot.Number{}))
+func (s *Store) updateRole() {
+	// Whoever gave the place has the leadership, or is about to.
+	free := time.Now().Add(s.P.Vacant() + s.campaignDelay(ballot.Number{}))
 	s.mu.Lock()
 	member := s.isMember(s.acc.Me().ID)
-	s.free = free
+	s.campaignFrom = free
 	s.mu.Unlock()
 	if member && s.role.Fire("filled") {
-		s.kick(false)
+		s.wakeLoop(false)
 	} else if !member {
 		s.role.Fire("refilled")
 	}
@@ -149,30 +149,30 @@
 	return hex.EncodeToString(b[:])
 }
 
-func (s *Store) stir() {
-	close(s.turn)
-	s.turn = make(chan struct{})
+func (s *Store) announceApplied() {
+	close(s.applied)
+	s.applied = make(chan struct{})
 }
 
-// apply runs one chosen version; the caller holds learn.
+// apply runs one chosen entry; the caller holds learn.
 func (s *Store) apply(e *paxos.Entry) ([]ledger.Receipt, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cmds, out, err := s.led.Apply(e.Batch)
+	cmds, out, err := s.state.Apply(e.Batch)
 	if err != nil {
 		return nil, err
 	}
-	s.clock(cmds, out)
+	s.recordLeases(cmds, out)
 	s.slot, s.sum = e.Slot, e.Sum()
 	s.grown(len(e.Batch))
 	s.e.Trace.Tell(trace.Applied{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
-	s.stir()
+	s.announceApplied()
 	return out, nil
 }
 
 // Start opens the ports and begins to take part.
 func (s *Store) Start() error {
-	s.takers()
+	s.registerHandlers()
 	if err := s.n.Listen(s.P.Inner); err != nil {
 		return err
 	}
@@ -180,7 +180,7 @@
 		return err
 	}
 	s.e.Log.Emit(event.Started, "program", "store", "inner", s.P.Inner, "replica", s.acc.Me().ID)
-	s.g.Go("life", s.life)
+	s.g.Go("life", s.run)
 	s.g.Go("pulse", func(ctx context.Context) { s.pulse.Run(ctx, s.e.Pause) })
 	return nil
 }
@@ -192,14 +192,14 @@
 	s.g.Stop()
 }
 
-// Stop ends politely: the place and the duty are handed on first.
+// Stop ends politely: the place and the leadership are handed on first.
 func (s *Store) Stop() {
 	s.e.Log.Emit(event.Stopping, "program", "store")
 	s.mu.Lock()
-	s.shut = true
+	s.stopping = true
 	s.mu.Unlock()
 	s.leave()
-	s.resign("stopping")
+	s.transferLeadership("stopping")
 	s.n.Leave(s.P.Parting())
 	s.Kill()
 	s.e.Log.Emit(event.Stopped, "program", "store")
@@ -207,10 +207,10 @@
 
 // isMember tells whether a replica is a member of the agreed list; mu is held.
 func (s *Store) isMember(id string) bool {
-	if s.led == nil {
+	if s.state == nil {
 		return false
 	}
-	for _, m := range s.led.Members {
+	for _, m := range s.state.Members {
 		if m.ID == id {
 			return true
 		}
--- a/internal/store/tally.go
+++ b/internal/store/tally.go
@@ -34,7 +34,7 @@
 }
 
 // tellElected tells whose votes a term was won with; learn is held.
-func (t *term) tellElected(votes []ballotVote) {
+func (t *leadership) tellElected(votes []ballotVote) {
 	s := t.s
 	if s.e.Trace == nil {
 		return
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -10,7 +10,7 @@
 	"puffincrank/internal/wire"
 )
 
-func (s *Store) takers() {
+func (s *Store) registerHandlers() {
 	wire.On(s.n, "store.found", s.onFound)
 	wire.On(s.n, "store.genesis", s.onGenesis)
 	wire.On(s.n, "store.join", s.onJoin)
@@ -31,31 +31,31 @@
 	wire.On(s.n, "store.remove", s.onRemove)
 }
 
-// foreign tells that a message is of a mesh that was founded apart from ours,
-// though it has our mesh's name: nothing of it is heeded. mu is held.
-func (s *Store) foreign(mesh string, who string) bool {
-	if mesh == "" || s.led == nil || mesh == s.led.Mesh {
+// isForeign tells that a message is of a cluster that was founded apart from ours,
+// though it has our cluster's name: nothing of it is heeded. mu is held.
+func (s *Store) isForeign(mesh string, who string) bool {
+	if mesh == "" || s.state == nil || mesh == s.state.Mesh {
 		return false
 	}
-	if time.Since(s.warned) > s.P.Return {
-		s.warned = time.Now()
-		s.e.Log.Emit(event.Foreign, "mesh", mesh, "own", s.led.Mesh, "from", who)
+	if time.Since(s.foreignWarned) > s.P.Return {
+		s.foreignWarned = time.Now()
+		s.e.Log.Emit(event.Foreign, "mesh", mesh, "own", s.state.Mesh, "from", who)
 	}
 	return true
 }
 
-// mending tells that a damaged version has not been mended: until then this
+// isMending tells that a damaged entry has not been mended: until then this
 // replica may have forgotten what it accepted, and must not vote.
-func (s *Store) mending() bool { return s.acc.Harmed() > s.slot }
+func (s *Store) isMending() bool { return s.acc.Harmed() > s.slot }
 
 func (s *Store) onBallot(_ context.Context, _ wire.Hello, in ballotAsk) (ballotVote, error) {
 	s.mu.Lock()
 	v := ballotVote{ID: s.acc.Me().ID, Slot: s.slot}
-	able := s.votes() && !s.mending() && !s.hung() && !s.foreign(in.Mesh, in.ID)
-	// One that knows of more versions may be a member by one of them.
+	able := s.votes() && !s.isMending() && !s.diskHangs() && !s.isForeign(in.Mesh, in.ID)
+	// One that knows of more entries may be a member by one of them.
 	v.Out = able && !s.isMember(in.ID) && s.slot >= in.Slot
 	s.mu.Unlock()
-	vow, quiet := s.vote.Vow()
+	vow, quiet := s.voter.Vow()
 	v.Seen = vow
 	if !able || v.Out {
 		return v, nil
@@ -66,7 +66,7 @@
 		v.Yes = in.ID == vow.Who || quiet >= s.P.Vacant()
 		return v, nil
 	}
-	yes, seen, err := s.vote.Ask(in.Num)
+	yes, seen, err := s.voter.Ask(in.Num)
 	if err != nil {
 		return v, nil
 	}
@@ -74,7 +74,7 @@
 	if yes {
 		s.e.Log.Emit(event.Promised, "ballot", in.Num.String())
 		if in.ID != s.acc.Me().ID {
-			s.depose("another was promised a higher ballot")
+			s.stepDown("another was promised a higher ballot")
 		}
 		v.Entries, v.More = s.acceptedAfter(max(v.Slot, in.Slot))
 	}
@@ -86,28 +86,28 @@
 
 func (s *Store) onAccept(ctx context.Context, _ wire.Hello, in acceptAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.ill || s.hung(), Knows: ledger.Level}
+	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level}
 	// While a write hangs, the next would only queue up behind it.
-	able := s.votes() && !s.leaving && in.Entry.Slot > s.slot && !s.hung() && !s.foreign(in.Mesh, in.Addr)
+	able := s.votes() && !s.leaving && in.Entry.Slot > s.slot && !s.diskHangs() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		return a, nil
 	}
-	vow, _ := s.vote.Vow()
+	vow, _ := s.voter.Vow()
 	if in.Entry.Num.Less(vow) {
 		a.Seen = vow
 		return a, nil
 	}
-	if err := s.keep(func() error { return s.acc.Accept(in.Entry) }); err != nil {
-		a.Seen, _ = s.vote.Vow()
+	if err := s.writeDurably(func() error { return s.acc.Accept(in.Entry) }); err != nil {
+		a.Seen, _ = s.voter.Vow()
 		return a, nil
 	}
-	s.vote.Rise(in.Entry.Num)
+	s.voter.Rise(in.Entry.Num)
 	if in.Entry.Num.Who != s.acc.Me().ID {
-		s.hear(in.Addr)
+		s.noteLeader(in.Addr)
 	}
 	a.Yes = s.acc.Me().ID == a.ID
-	s.learnLater(in.Slot, in.Sum, in.Addr)
+	s.learnSoon(in.Slot, in.Sum, in.Addr)
 	return a, nil
 }
 
@@ -134,55 +134,55 @@
 	return out, false
 }
 
-// hear notes who writes.
-func (s *Store) hear(addr string) {
+// noteLeader notes who writes.
+func (s *Store) noteLeader(addr string) {
 	s.mu.Lock()
-	s.head = addr
+	s.leaderAddress = addr
 	s.mu.Unlock()
 }
 
-// hint notes a writer that takes this empty store, whose disk was lost, for the
+// noteLeaderIfEmpty notes a leader that takes this empty store, whose disk was lost, for the
 // member that it was: the seeds may all be as empty.
-func (s *Store) hint(addr string) {
+func (s *Store) noteLeaderIfEmpty(addr string) {
 	s.mu.Lock()
-	if s.led == nil {
-		s.head = addr
+	if s.state == nil {
+		s.leaderAddress = addr
 	}
 	s.mu.Unlock()
 }
 
 func (s *Store) onBeat(_ context.Context, _ wire.Hello, in beatAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.ill || s.hung(), Knows: ledger.Level}
-	able := s.votes() && !s.foreign(in.Mesh, in.Addr)
+	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level}
+	able := s.votes() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
-		s.hint(in.Addr)
+		s.noteLeaderIfEmpty(in.Addr)
 		return a, nil
 	}
-	yes, seen, err := s.vote.Beat(in.Num)
+	yes, seen, err := s.voter.Beat(in.Num)
 	if err != nil {
 		return a, nil
 	}
 	a.Yes, a.Seen = yes, seen
 	if yes {
 		if in.Num.Who != s.acc.Me().ID {
-			s.depose("another writes")
-			s.hear(in.Addr)
+			s.stepDown("another writes")
+			s.noteLeader(in.Addr)
 		}
-		s.learnLater(in.Slot, in.Sum, in.Addr)
+		s.learnSoon(in.Slot, in.Sum, in.Addr)
 	}
 	return a, nil
 }
 
 func (s *Store) onVacate(_ context.Context, _ wire.Hello, in vacateAsk) (ack, error) {
-	s.vote.Vacate(in.Num)
+	s.voter.Vacate(in.Num)
 	if s.votes() {
-		at := time.Now().Add(s.turnOf(in.Num))
+		at := time.Now().Add(s.campaignDelay(in.Num))
 		s.mu.Lock()
-		s.free = at
+		s.campaignFrom = at
 		s.mu.Unlock()
-		s.kick(false)
+		s.wakeLoop(false)
 	}
 	return ack{Yes: true}, nil
 }
