--- a/internal/member/book.go
+++ b/internal/member/book.go
@@ -66,8 +66,10 @@
 // Hash names the list: equal lists have equal hashes, whatever way led there.
 func (b *Book) Hash() uint64 { return b.hash }
 
-// Len counts the members, Fronts those that take callers' jobs.
-func (b *Book) Len() int    { return len(b.all) }
+// Len counts the members.
+func (b *Book) Len() int { return len(b.all) }
+
+// Fronts counts the members that take callers' requests.
 func (b *Book) Fronts() int { return b.fronts }
 
 // Get finds a member by name, nil when it isn't one.
--- a/internal/patch/patch_test.go
+++ b/internal/patch/patch_test.go
@@ -79,7 +79,7 @@
 // too far, or by more than half of the document, gets none.
 func TestHeld(t *testing.T) {
 	const kept = 256
-	a, b := NewHeld(kept), NewHeld(8)
+	a := NewHeld(kept)
 	docs := map[uint64][]byte{}
 	for v := uint64(1); v <= 400; v++ {
 		docs[v] = long(600, int(v))
@@ -95,7 +95,7 @@
 		if !ok || len(steps) != int(back) {
 			t.Fatalf("%d back: %d steps, %v", back, len(steps), ok)
 		}
-		b = NewHeld(8)
+		b := NewHeld(8)
 		b.Set(v, docs[v], nil)
 		got, ok := b.Build(steps)
 		if !ok || !bytes.Equal(got, docs[400]) {
--- a/internal/replica/refill.go
+++ b/internal/replica/refill.go
@@ -115,12 +115,16 @@
 	return out, nil
 }
 
-// Room tells whether this node may hand out more in this beat, Spend that it did,
-// Gave to whom, and Given who was given what others still wait for, those of an
-// area first.
-func (r *Replica) Room() bool                      { return r.pace.room(time.Now()) }
-func (r *Replica) Spend(size int)                  { r.pace.spend(size) }
-func (r *Replica) Gave(at, area string)            { r.pace.gave(at, area) }
+// Room tells whether this node may hand out more in this beat.
+func (r *Replica) Room() bool { return r.pace.room(time.Now()) }
+
+// Spend notes how many bytes it handed out.
+func (r *Replica) Spend(size int) { r.pace.spend(size) }
+
+// Gave notes whom it handed a refill, and in which area.
+func (r *Replica) Gave(at, area string) { r.pace.gave(at, area) }
+
+// Given names who was given what others still wait for, those of an area first.
 func (r *Replica) Given(area, but string) []string { return r.pace.name(area, but) }
 
 // Fellow draws a proxy of an area, of any without one; empty when the draws
--- a/internal/rules/fields_test.go
+++ b/internal/rules/fields_test.go
@@ -80,7 +80,7 @@
 		if a.To(id) == "b" {
 			n++
 		}
-		if a.To(id) != a.To(id) {
+		if first, second := a.To(id), a.To(id); first != second {
 			t.Fatal("one job has two services")
 		}
 	}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -101,7 +101,7 @@
 		if p.Arm(id).Name == "new" {
 			n++
 		}
-		if p.Arm(id) != p.Arm(id) {
+		if first, second := p.Arm(id), p.Arm(id); first != second {
 			t.Fatal("one job in both arms")
 		}
 	}
--- a/internal/sim/corestorm_test.go
+++ b/internal/sim/corestorm_test.go
@@ -41,7 +41,7 @@
 	how := rnd.IntN(10)
 	long := time.Duration(200+rnd.IntN(2800)) * time.Millisecond
 	for _, c := range hit {
-		l.say = append(l.say, fmt.Sprintf("%v: %s by way %d for %v", time.Now().Sub(l.from).Round(time.Millisecond), c.Host, how, long))
+		l.say = append(l.say, fmt.Sprintf("%v: %s by way %d for %v", time.Since(l.from).Round(time.Millisecond), c.Host, how, long))
 		switch how {
 		case 0:
 			l.KillCore(c, rnd.IntN(2) == 0)
--- a/internal/sim/numberrace_test.go
+++ b/internal/sim/numberrace_test.go
@@ -15,10 +15,9 @@
 
 // numberRace is one race of orders under one number.
 type numberRace struct {
-	f       *Fleet
-	rnd     *rand.Rand
-	number  uint64
-	answers [][]int // content to the codes that its senders got
+	f      *Fleet
+	rnd    *rand.Rand
+	number uint64
 }
 
 // content is one of the contents that are sent under the number.
--- a/internal/sim/risk_test.go
+++ b/internal/sim/risk_test.go
@@ -28,7 +28,6 @@
 	at                            time.Time
 	jobs, held, acks, left, calls int
 	repeats                       float64
-	stops                         int
 }
 
 // look counts what could be harmed just now.
--- a/internal/sim/same_test.go
+++ b/internal/sim/same_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -88,7 +87,7 @@
 				Wait(2500 * time.Millisecond)
 				round("the writer frozen")
 				f.Net.Freeze("store-"+f.marked.Host, false)
-				t.Log(fmt.Sprintf("%d reads refused when calm, %d in all", calm, refused))
+				t.Logf("%d reads refused when calm, %d in all", calm, refused)
 				if calm > 0 {
 					t.Error("reads were refused with all well")
 				}
--- a/internal/store/confirm.go
+++ b/internal/store/confirm.go
@@ -110,7 +110,7 @@
 	who, need := s.memberAddresses()
 	yes, higher := 0, 0
 	// A slow member's answer still counts as heard after the majority is in.
-	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (ack, error) {
+	ballot.Poll(ctx, s.g, who, func(_ context.Context, to string) (ack, error) {
 		ctx, end := context.WithTimeout(s.g.Context(), s.P.Lease()/2)
 		defer end()
 		if to == s.P.Inner {
--- a/internal/store/split_test.go
+++ b/internal/store/split_test.go
@@ -68,23 +68,16 @@
 		if len(asked) < 6 || len(left) < 3 {
 			t.Fatalf("%d votes asked for, %d told that it gave up", len(asked), len(left))
 		}
-		var first said
+		first := <-asked
+		<-asked
+		<-asked
 		for range 3 {
-			first = <-asked
-			<-asked
-			<-asked
-			for range 3 {
-				if got := <-left; got.num != first.num || got.at.Sub(first.at) > p.Beat()/4 {
-					t.Errorf("%v given up %v after %v was asked for", got.num, got.at.Sub(first.at), first.num)
-				}
-			}
-			if len(asked) < 3 {
-				break
+			if got := <-left; got.num != first.num || got.at.Sub(first.at) > p.Beat()/4 {
+				t.Errorf("%v given up %v after %v was asked for", got.num, got.at.Sub(first.at), first.num)
 			}
-			if next := <-asked; next.at.Sub(first.at) > p.Beat() || !first.num.Less(next.num) {
-				t.Errorf("stood again with %v after %v, %v before", next.num, next.at.Sub(first.at), first.num)
-			}
-			break
+		}
+		if next := <-asked; next.at.Sub(first.at) > p.Beat() || !first.num.Less(next.num) {
+			t.Errorf("stood again with %v after %v, %v before", next.num, next.at.Sub(first.at), first.num)
 		}
 	})
 }
