What a departing member holds counts for no change of the members

Cause: the exploration, run to 3 million states, found that two planned departures at once leave what was acknowledged with one of the new members: the second is let go since the others hold all, and right after the first one's place is given by a count in which the second still stands.

A member that asks whether it may go is marked by the leader, and says so in its acks from when it accepts nothing more; what it holds is not counted until it runs again. The model's leave waits for a change that is under way, as the code does by deciding one thing at a time.

Ruled out: forgetting its slot at the leader alone; the next leader would not know.

--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -83,6 +83,11 @@
 	if !m.has(n.id) && n.applied < newest {
 		return false
 	}
+	// The leader answers with nothing under way, and what another proposed before
+	// is over by then: its slot is the leader's.
+	if s.changing(newest) {
+		return false
+	}
 	others := s.holders(newest) &^ (1 << i)
 	if r.breach != LeavesEarly && m.count(s, others) < m.need() {
 		return false
@@ -93,6 +98,22 @@
 	return true
 }
 
+// changing tells whether any node has accepted, or proposes, a change of the
+// members that was not chosen.
+func (s *State) changing(newest uint8) bool {
+	for _, n := range s.nodes {
+		if n.now&changeBit != 0 {
+			return true
+		}
+		for slot := newest; slot < slots; slot++ {
+			if n.ballots[slot] != 0 && n.log[slot]&changeBit != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // outcast gives a replica a new identity once a majority of the members that it
 // knows tells it that it has lost its place.
 func (r *rules) outcast(s *State, i int) bool {
--- a/internal/mutant/core.go
+++ b/internal/mutant/core.go
@@ -18,6 +18,7 @@
 	{"change-without-holders", Kept, "internal/store/holders.go", "		if held {\n			return true\n		}\n", "		if held || need > 0 {\n			return true\n		}\n", "sim", "TestLeaveWhileOneLags"},
 	{"cut-vote-trusted", Kept, "internal/store/campaign.go", "		if slot > toldUpTo(votes) {\n", "		if slot > toldUpTo(votes) && slot == 0 {\n", "store", "TestCutVote"},
 	{"snapshot-unchecked", Kept, "internal/store/download.go", "!bytes.Equal(sum[:], head.ID) {", "len(sum) != len(head.ID) {", "store", "TestBadSnapshots"},
+	{"going-counted", Kept, "internal/store/holders.go", "		if !t.contacts[m.ID].going.IsZero() {\n", "		if !t.contacts[m.ID].going.IsZero() && slot == 0 {\n", "store", "TestGoingNotCounted"},
 	{"others-not-asked", Kept, "internal/store/leave.go", "	return err == nil && got.Held\n", "	return err == nil && (got.Held || !got.Held)\n", "sim", "TestSecondLoss"},
 
 	{"lock-cut-short", Rising, "internal/store/leases.go", "end := now.Add(withDrift(time.Duration(c.TTL) * time.Millisecond))", "end := now.Add(withDrift(time.Duration(c.TTL) * time.Millisecond / 2))", "sim", "TestLockHolders"},
--- a/internal/store/contact.go
+++ b/internal/store/contact.go
@@ -11,9 +11,10 @@
 // peerContact is the newest sign of life of a member.
 type peerContact struct {
 	at    time.Time
-	slot  uint64 // what it had applied
-	ill   bool   // its disk was slow or refused
-	knows int    // the level of commands that it understands
+	slot  uint64    // what it had applied
+	ill   bool      // its disk was slow or refused
+	knows int       // the level of commands that it understands
+	going time.Time // when it last said that it ends soon; zero: it stays
 }
 
 // formerTerm is what the last term knew of the members.
@@ -29,12 +30,34 @@
 	t.s.mu.Unlock()
 	if ok {
 		t.mu.Lock()
-		t.contacts[a.ID] = peerContact{time.Now(), max(a.Slot, t.contacts[a.ID].slot), a.Ill, a.Knows}
+		t.contacts[a.ID] = t.newContact(a)
 		t.mu.Unlock()
 	}
 	return ok
 }
 
+// newContact is what an ack tells of its sender; t.mu is held.
+func (t *leadership) newContact(a ack) peerContact {
+	before, now := t.contacts[a.ID], time.Now()
+	out := peerContact{at: now, slot: max(a.Slot, before.slot), ill: a.Ill, knows: a.Knows, going: before.going}
+	if a.Going {
+		out.going = now
+	} else if now.Sub(before.going) > t.s.P.Lease() {
+		// It runs again: an ack from before its word would have come by now.
+		out.going = time.Time{}
+	}
+	return out
+}
+
+// noteGoing notes that a member ends soon: what it holds no longer counts.
+func (t *leadership) noteGoing(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	contact := t.contacts[id]
+	contact.going = time.Now()
+	t.contacts[id] = contact
+}
+
 // initialContact is what a new term takes a member's newest word to be: what our own
 // last term knew if it has just ended, the voters' ear for the holder before
 // us, and the benefit of the doubt for the rest. s.learn is held.
--- a/internal/store/holders.go
+++ b/internal/store/holders.go
@@ -17,6 +17,10 @@
 // is held.
 func (t *leadership) holders(members []ledger.Member, slot uint64) (n int) {
 	for _, m := range members {
+		// One that ends soon may take its disk with it.
+		if !t.contacts[m.ID].going.IsZero() {
+			continue
+		}
 		has := t.contacts[m.ID].slot
 		if sp := t.learners[m.ID]; sp != nil {
 			has = max(has, sp.slot)
--- a/internal/store/leave.go
+++ b/internal/store/leave.go
@@ -142,6 +142,7 @@
 	case t == nil:
 		return ack{}, nil
 	case in.Keeps:
+		t.noteGoing(in.ID)
 		return ack{Held: t.othersHold(ctx, in.ID)}, nil
 	}
 	given := t.givePlace(ctx, in.ID)
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -51,6 +51,7 @@
 	Slot  uint64        `msgpack:"t"`
 	Knows int           `msgpack:"k,omitempty"` // the level of commands that it understands
 	Held  bool          `msgpack:"h,omitempty"` // the others hold all that a leaving member has
+	Going bool          `msgpack:"g,omitempty"` // the sender ends soon, and its disk may go with it
 }
 
 type fetchAsk struct {
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -86,7 +86,7 @@
 
 func (s *Store) onAccept(ctx context.Context, _ wire.Hello, in acceptAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level}
+	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
 	// While a write hangs, the next would only queue up behind it.
 	able := s.votes() && !s.leaving && in.Entry.Slot > s.slot && !s.diskHangs() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
@@ -153,7 +153,7 @@
 
 func (s *Store) onBeat(_ context.Context, _ wire.Hello, in beatAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level}
+	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
 	able := s.votes() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
