Real fleets: racing changes come from two operators

Cause: RealFleet failed with racing changes answered [200 200 422]: its two racers send one document on one base, which is one order sent twice since requests are remembered, and gets one answer. They name two operators now; the test still wants one 200, one 409 and one 422.

--- a/internal/fleetrun/faults.go
+++ b/internal/fleetrun/faults.go
@@ -138,7 +138,7 @@
 		wait.Add(1)
 		r.g.Go("race", func(context.Context) {
 			defer wait.Done()
-			code, got := r.Get("PUT", r.Nodes[i*3].Host+":7003", fmt.Sprintf("/puffin/config?emergency=true&based_on=%v", base), doc)
+			code, got := r.Get("PUT", r.Nodes[i*3].Host+":7003", fmt.Sprintf("/puffin/config?emergency=true&who=operator-%d&based_on=%v", i, base), doc)
 			codes[i] = code
 			if v, _ := got["version"].(float64); code == 200 {
 				r.Obs.Acked(uint64(v))
