A front that can't confirm takes a newer configuration from the owner it meets

Ruled out: a word "sure" from before the freeze (all of those were at most 0.3 s old), owners that were unsure themselves, the test's clock.

TestGrowth and TestPlans sent one order twice and meant two operators; the same order gets its first answer now. They name their operators and refuse as before: one of a race is confirmed, none on an old base.

--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -130,7 +130,9 @@
 }
 
 // checkRules lets a job in only if the newest configuration here still sends
-// jobs of its kind to this service.
+// jobs of its kind to this service. A front that was sure of an older one when it
+// had read the job may go by it; one that said that it was not takes the newer
+// one from here first, since its own may have been replaced long ago.
 func (x *Proxy) checkRules(_ context.Context, v *visit) bool {
 	r := x.rules.Load()
 	if r == nil {
@@ -144,6 +146,9 @@
 		x.touch.Kick()
 		return v.differ("owner's configuration is older than the job's")
 	}
+	if v.in.Word == session.Lost || v.in.Word == session.Unsure {
+		return v.differ("a newer configuration is known than the job's front was sure of")
+	}
 	p := r.Match(v.in.Host, v.in.Method, urlPath(v.in.URI))
 	if p == nil || (!p.Base.Sends(v.in.Service) && (p.Trial == 0 || !p.New.Sends(v.in.Service))) {
 		return v.differ("a newer configuration doesn't send this job here")
--- a/internal/sim/acts_test.go
+++ b/internal/sim/acts_test.go
@@ -33,14 +33,15 @@
 	d.renew(n)
 }
 
-// race is what became of changes sent at once, by the path of the shape's
-// document whose time left is changed.
-func (d draw) race(base float64, docs []string) map[int]int {
+// race is what became of changes sent at once by as many operators, by the path
+// of the shape's document whose time left is changed. Each operator has a name:
+// one that sends its change again would get its first answer.
+func (d draw) race(who string, base float64, docs []string) map[int]int {
 	codes := make(chan int, len(docs))
-	for _, doc := range docs {
+	for i, doc := range docs {
 		at := d.f.Nodes[d.IntN(len(d.f.Nodes))].Host + ":7003"
 		go func() {
-			code, _ := d.f.Ask("PUT", at, fmt.Sprintf("/puffin/config?based_on=%v&emergency=true&left_ms=2500", base), doc)
+			code, _ := d.f.Ask("PUT", at, fmt.Sprintf("/puffin/config?based_on=%v&who=%s-%d&emergency=true&left_ms=2500", base, who, i), doc)
 			if code == 200 {
 				d.f.Obs.Acked(uint64(base) + 1)
 			}
@@ -63,8 +64,8 @@
 		return
 	}
 	doc := strings.Replace(d.f.S.Doc, `"judge"`, fmt.Sprintf(`"limits":{"queue_share":%d},"judge"`, 1+d.IntN(3)), 1)
-	got := d.race(v, []string{doc, d.f.S.Doc, strings.Replace(doc, `"share":`, `"share":1`, 1)})
-	old := d.race(v-1, []string{doc})
+	got := d.race("racer", v, []string{doc, d.f.S.Doc, strings.Replace(doc, `"share":`, `"share":1`, 1)})
+	old := d.race("late", v-1, []string{doc})
 	d.say("changes on %v answered %v, an old one %v", v, got, old)
 	if got[200] > 1 || old[200] > 0 {
 		d.f.T.Errorf("changes on one base answered %v, an old one %v", got, old)
--- a/internal/sim/grow_test.go
+++ b/internal/sim/grow_test.go
@@ -39,20 +39,20 @@
 			more := paths + 10 + rnd.IntN(20)
 			doc := grown(s, more)
 			codes := make(chan int, 4)
-			send := func(base uint64, doc string) {
+			send := func(who string, base uint64, doc string) {
 				to := at()
 				f.g.Go("send", func(context.Context) {
-					code, v := f.Apply(to, base, doc)
+					code, v := f.ApplyAs(who, to, base, doc)
 					if code == 200 && v != version+1 {
 						t.Errorf("version %d after %d", v, version)
 					}
 					codes <- code
 				})
 			}
-			send(version, doc)
-			send(version, doc)
-			send(version-1, grown(s, more+1))
-			send(version, strings.Replace(doc, `"service":"seats"`, `"service":"sits"`, 1))
+			send("one", version, doc)
+			send("another", version, doc)
+			send("late", version-1, grown(s, more+1))
+			send("one", version, strings.Replace(doc, `"service":"seats"`, `"service":"sits"`, 1))
 			got := map[int]int{}
 			for range 4 {
 				got[<-codes]++
--- a/internal/sim/start.go
+++ b/internal/sim/start.go
@@ -23,7 +23,7 @@
 		f.StartWorker(n, f.S.Serves(i))
 	}
 	f.Until(15*time.Second, "the first configuration is taken", func() bool {
-		code, v, got := f.apply(f.Fronts()[0], 0, f.S.Doc)
+		code, v, got := f.apply("", f.Fronts()[0], 0, f.S.Doc)
 		if code == 422 {
 			// No later try is taken: say what is wrong with it.
 			f.T.Fatalf("the first configuration is refused: %v", got)
@@ -115,12 +115,18 @@
 
 // Apply sends a document to the node with this traffic or outer address.
 func (f *Fleet) Apply(at string, base uint64, doc string) (int, uint64) {
-	code, v, _ := f.apply(at, base, doc)
+	return f.ApplyAs("", at, base, doc)
+}
+
+// ApplyAs sends a document as the operator of a name: what two operators send is
+// never taken for one order that is sent again.
+func (f *Fleet) ApplyAs(who, at string, base uint64, doc string) (int, uint64) {
+	code, v, _ := f.apply(who, at, base, doc)
 	return code, v
 }
 
-func (f *Fleet) apply(at string, base uint64, doc string) (int, uint64, map[string]any) {
-	code, got := f.Ask("PUT", host(at)+":7003", fmt.Sprintf("/puffin/config?based_on=%d", base), doc)
+func (f *Fleet) apply(who, at string, base uint64, doc string) (int, uint64, map[string]any) {
+	code, got := f.Ask("PUT", host(at)+":7003", fmt.Sprintf("/puffin/config?based_on=%d&who=%s", base, who), doc)
 	v, _ := got["version"].(float64)
 	if code == 200 {
 		f.Obs.Acked(uint64(v))
--- a/internal/touch/round.go
+++ b/internal/touch/round.go
@@ -41,8 +41,9 @@
 	}
 	found, word, began := t.round(ctx, core)
 	// Control nodes that were gone and came back in the middle of a round answer
-	// late by that alone: one that begins now tells.
-	if was2 && word == session.Unsure {
+	// late by that alone, and so does everything in a round that a freeze fell
+	// into: one that begins now tells.
+	if word != session.Sure && (was2 && word == session.Unsure || t.x.Woke().After(began)) {
 		found, word, began = t.round(ctx, core)
 	}
 	t.mu.Lock()
