A store without a leader catches up from whoever has applied most

A machine that had just been given a place did not know of it. Without a leader it asked all it knows and was refilled from the first that answered: the nearest, always the same, which was behind; the one that had applied the change answered later each time. Three more faults lie beside it, found by reading the same path: - the question waited for all, so one machine that never answers left no time for the refill; - one that names a leader that is gone was believed each time; - a member that could not be elected learned nothing from voters that had applied more, among it that it has no place, or how to mend its damaged entry. Ruled out: the holders' rule (all that was acknowledged was there, on one member and one that stood by); a lost or doubled change of the members. Mended: the source is the one that has applied most unless a leader answers; half of the time is left for the refill; a candidate is taken for a source by whom it asks in vain; a member that is not elected catches up from a voter that has more. A leader whose members have just changed is not ready until the new ones elected one: the change is firm from then on.

--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -98,12 +98,16 @@
 		first: map[string]uint64{}, rows: map[string][]Put{}, answers: map[string]uint64{}}
 }
 
-// Load reads a state from a checkpoint.
+// Load reads a state from a checkpoint. One that was raised to a level of commands
+// that this program does not know is refused: it may hold what would be lost here.
 func Load(b []byte) (*State, error) {
 	s := New("", nil)
 	if err := msgpack.Unmarshal(b, s); err != nil {
 		return nil, fault.Wrap(fault.Stale, err, "read checkpoint")
 	}
+	if s.Level > Level {
+		return nil, fault.New(fault.Input, "the state needs a program of level %d, this one is of %d", s.Level, Level)
+	}
 	for _, p := range s.Puts {
 		s.index(p)
 	}
--- a/internal/mutant/core.go
+++ b/internal/mutant/core.go
@@ -2,7 +2,7 @@
 
 var core = []Mutant{
 	{"unsynced", Kept, "internal/disk/disk.go", "	if err == nil {\n		err = f.Sync()\n	}\n	if end := f.Close(); err == nil {\n		err = end\n	}\n	if err == nil {\n		err = fs.Rename", "	if end := f.Close(); err == nil {\n		err = end\n	}\n	if err == nil {\n		err = fs.Rename", "sim", "TestCoreFaults/all_three"},
-	{"one-is-enough", Kept, "internal/store/campaign.go", "	return out, len(out)/2 + 1\n", "	return out, 1\n", "sim", "TestCoreFaults|TestCutWriter|TestLinearizable"},
+	{"one-is-enough", Kept, "internal/store/electorate.go", "	return out, len(out)/2 + 1\n", "	return out, 1\n", "sim", "TestCoreFaults|TestCutWriter|TestLinearizable"},
 	{"shares-not-added", Kept, "internal/rules/rules.go", "math.Abs(sum-100) > 1e-6", "math.Abs(sum-100) > 1e6", "sim", "TestCommands"},
 	{"accepted-forgotten", Kept, "internal/store/campaign.go", "		if pick == nil {\n			break\n		}\n", "		if pick == nil || len(votes) > 0 {\n			break\n		}\n", "sim", "TestCoreFaults|TestLinearizable|TestLockHolders|TestPower"},
 	{"promise-sinks", Kept, "internal/paxos/keep.go", "	if vow := a.Vow(); n.Less(vow) {\n", "	if vow := a.Vow(); n.Less(vow) && n.Round > 1<<40 {\n", "paxos", "TestPromises"},
@@ -19,6 +19,8 @@
 	{"cut-vote-trusted", Kept, "internal/store/campaign.go", "		if slot > toldUpTo(votes) {\n", "		if slot > toldUpTo(votes) && slot == 0 {\n", "store", "TestCutVote"},
 	{"snapshot-unchecked", Kept, "internal/store/download.go", "!bytes.Equal(sum[:], head.ID) {", "len(sum) != len(head.ID) {", "store", "TestBadSnapshots"},
 	{"going-counted", Kept, "internal/store/holders.go", "		if !t.contacts[m.ID].going.IsZero() {\n", "		if !t.contacts[m.ID].going.IsZero() && slot == 0 {\n", "store", "TestGoingNotCounted"},
+	{"founding-unchecked", Kept, "internal/store/founding.go", "	if n := len(members); n%2 == 0 && n != 2 {\n		return fault", "	if n := len(members); n > 1<<20 {\n		return fault", "store", "TestBadFoundings"},
+	{"newer-state-taken", Kept, "internal/ledger/state.go", "	if s.Level > Level {\n", "	if s.Level > Level+9 {\n", "store", "TestNewerSnapshots"},
 	{"others-not-asked", Kept, "internal/store/leave.go", "	return err == nil && got.Held\n", "	return err == nil && (got.Held || !got.Held)\n", "sim", "TestSecondLoss"},
 
 	{"lock-cut-short", Rising, "internal/store/leases.go", "end := now.Add(withDrift(time.Duration(c.TTL) * time.Millisecond))", "end := now.Add(withDrift(time.Duration(c.TTL) * time.Millisecond / 2))", "sim", "TestLockHolders"},
@@ -43,5 +45,8 @@
 	{"stand-by-not-awaited", Return, "internal/store/leave.go", "		t.s.e.Pause(ctx, t.s.P.Beat()/40)\n", "		return false\n", "sim", "TestLeftBusy"},
 	{"not-afresh", Return, "internal/proxy/beat.go", "g.state.Is(\"up\", \"draining\") && x.rep.OwnDead(dot)", "g.state.Is(\"draining\") && x.rep.OwnDead(dot)", "sim", "TestNodeFaults"},
 	{"dot-without-start", Return, "internal/replica/replica.go", "dot: self.Node + \"#\" + self.Start,", "dot: self.Node,", "replica", "TestDotOfAStart"},
-	{"place-not-learned", Return, "internal/store/join.go", "		if err == nil && got.Slot == 0 && got.Has > ask.Slot &&", "		if err == nil && got.Slot == 0 && got.Has > 1<<60 &&", "sim", "TestLeaveWhileOneLags"},
+	{"place-not-learned", Return, "internal/store/join.go", "		if err == nil && got.Slot == 0 && got.Has > ask.Slot &&", "		if err == nil && got.Slot == 0 && got.Has > 1<<60 &&", "store", "TestPlaceLearned"},
+	{"nearest-source", Return, "internal/store/join.go", " && got.Slot > best.Slot:\n", " && got.Slot > 1<<60:\n", "store", "TestNewestSource"},
+	{"no-time-for-refill", Return, "internal/store/join.go", "	ctx, end := context.WithTimeout(ctx, s.P.Patience())\n", "	ctx, end := context.WithTimeout(ctx, 4*s.P.Patience())\n", "store", "TestNewestSource"},
+	{"leader-awaited", Return, "internal/store/electorate.go", "	case !ok && !real && best != \"\":\n", "	case !ok && !real && len(best) > 1<<20:\n", "store", "TestCatchUpWithoutLeader"},
 }
--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -29,6 +29,7 @@
 	{"step-back", Newest, "internal/proxy/start.go", "		if old != nil && old.Version >= version {", "		if old != nil && old.Version == version {", "proxy", "TestNeverBack"},
 	{"late-is-cut", Newest, "internal/touch/round.go", "	return \"\", t.verdict(began, outs, <-rung || quick), began", "	return \"\", max(session.Lost, session.Word(-outs)), began", "sim", "TestChokedLine"},
 	{"confirmed-too-long", Newest, "internal/props/parts.go", "p.Pace() * 8 / 10 }", "p.Pace() * 13 / 10 }", "props", "TestFresh"},
+	{"older-rules-run", Newest, "internal/proxy/owner.go", "	if v.in.Word == session.Lost || v.in.Word == session.Unsure {\n", "	if v.in.Word > session.Unsure {\n", "proxy", "TestOlderConfiguration"},
 	{"frozen-round", Newest, "internal/touch/round.go", "t.lost && t.out.After(woke) &&", "t.lost && (woke.IsZero() || !woke.IsZero()) &&", "touch", "TestFrozenRound"},
 
 	{"repeats-not-asked", Repeats, "internal/proxy/steps.go", "	if j.came > 0 && !x.again.Again(j.service) {", "	if j.came > 0 && !x.again.Again(j.service) && j.sends > 5 {", "sim", "TestStorms"},
--- a/internal/sim/corelab_test.go
+++ b/internal/sim/corelab_test.go
@@ -23,6 +23,7 @@
 	say  []string
 	from time.Time
 	made int
+	seed uint64
 }
 
 // newLab lays out so many core machines, told of the first three, that are to
--- a/internal/store/campaign.go
+++ b/internal/store/campaign.go
@@ -8,7 +8,6 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
 	"puffincrank/internal/ledger"
-	"puffincrank/internal/wire"
 )
 
 // followStep watches for a vacant duty and stands for it; it tells when to look
@@ -67,66 +66,6 @@
 	return time.Duration(rank)*step + step/5 + time.Duration(rand.Int64N(int64(step/5)))
 }
 
-func (s *Store) memberAddresses() (out []string, need int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, m := range s.state.Members {
-		out = append(out, m.Addr)
-	}
-	return out, len(out)/2 + 1
-}
-
-// memberSet names the stores that vote, as this one has it.
-func (s *Store) memberSet() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := ""
-	for _, m := range s.state.Members {
-		all += m.ID + "@" + m.Addr + " "
-	}
-	return all
-}
-
-// askVotes asks every member for its vote, this one among them; no counts those that
-// refused theirs.
-func (s *Store) askVotes(ctx context.Context, num ballot.Number, real bool) (yes []ballotVote, from []string, no int, ok bool) {
-	ctx, end := context.WithTimeout(ctx, s.P.Lease()/2)
-	defer end()
-	who, need := s.memberAddresses()
-	s.mu.Lock()
-	ask := ballotAsk{Num: num, ID: s.acc.Me().ID, Real: real, Slot: s.slot, Mesh: s.state.Mesh}
-	s.mu.Unlock()
-	out := 0
-	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (ballotVote, error) {
-		if to == s.P.Inner {
-			return s.onBallot(ctx, wire.Hello{}, ask)
-		}
-		return wire.Ask[ballotVote](ctx, s.n, to, "store.ballot", ask)
-	}, func(to string, v ballotVote, err error) bool {
-		if err != nil {
-			return false
-		}
-		s.mu.Lock()
-		s.highestRound = max(s.highestRound, v.Seen.Round)
-		member := s.isMember(v.ID)
-		s.mu.Unlock()
-		if v.Out {
-			out++
-		}
-		// A vote counts only under an identity that is a member's.
-		if v.Yes && member {
-			yes, from = append(yes, v), append(from, to)
-		} else if member {
-			no++
-		}
-		return len(yes) >= need
-	})
-	if out >= need {
-		_ = s.becomeLearner()
-	}
-	return yes, from, no, len(yes) >= need
-}
-
 // campaign is one try to become the leader.
 func (s *Store) campaign(ctx context.Context) {
 	if _, _, _, ok := s.askVotes(ctx, ballot.Number{}, false); !ok || !s.role.Fire("stand") {
--- a/internal/store/download.go
+++ b/internal/store/download.go
@@ -23,6 +23,9 @@
 // goes on for as long as chunks come, whatever the caller's own time is: a large
 // state takes longer than a call.
 func (s *Store) fetchSnapshot(ctx context.Context, from string, head snapshotHead) error {
+	if head.Format > paxos.Format {
+		return s.badSnapshot(from, "it is of format %d, newer than %d", head.Format, paxos.Format)
+	}
 	if head.Size <= 0 || head.Size > s.largestSnapshot() || len(head.ID) != sha256.Size {
 		return s.badSnapshot(from, "its announced size is %d", head.Size)
 	}
@@ -39,7 +42,7 @@
 	if sum := sha256.Sum256(whole); !bytes.Equal(sum[:], head.ID) {
 		return s.badSnapshot(from, "it fails its checksum")
 	}
-	return s.install(paxos.Checkpoint{Slot: head.Slot, Sum: head.Sum, State: whole}, event.Refilled)
+	return s.install(paxos.Checkpoint{Format: head.Format, Slot: head.Slot, Sum: head.Sum, State: whole}, event.Refilled)
 }
 
 // largestSnapshot bounds what is taken from another replica: its own bound may be
--- a/internal/store/founding.go
+++ b/internal/store/founding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"slices"
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
@@ -32,12 +33,60 @@
 	if !s.empty() {
 		return ack{}, fault.New(fault.Refused, "not empty")
 	}
-	for _, m := range in.Members {
-		if m.ID == s.acc.Me().ID {
-			return ack{Yes: true, ID: m.ID}, s.begin(in)
+	own := s.acc.Me().ID
+	if err := checkFounders(in.Members, own); err != nil {
+		s.e.Log.Emit(event.Foreign, "mesh", in.Mesh, "why", err.Error())
+		return ack{}, err
+	}
+	return ack{Yes: true, ID: own}, s.begin(in)
+}
+
+// checkFounders refuses a list of founding members that doesn't name the receiver,
+// names a replica or an address twice, or is of an even number: the one more
+// bears no more losses, and every decision would wait for it. Two are let through,
+// since one alone would have the only copy.
+func checkFounders(members []ledger.Member, receiver string) error {
+	named := map[string]bool{}
+	for _, m := range members {
+		if m.ID == "" || m.Addr == "" {
+			return fault.New(fault.Refused, "the founding has a member without identity or address")
+		}
+		if named[m.ID] || named["at "+m.Addr] {
+			return fault.New(fault.Refused, "the founding names %s at %s twice", m.ID, m.Addr)
+		}
+		named[m.ID], named["at "+m.Addr] = true, true
+	}
+	if !named[receiver] {
+		return fault.New(fault.Refused, "not named in the founding")
+	}
+	if n := len(members); n%2 == 0 && n != 2 {
+		return fault.New(fault.Refused, "the founding names %d members, an even number", n)
+	}
+	return nil
+}
+
+// founders gives the members that found a cluster: all that were found, but for
+// the last by address, not the founder itself, where they are of an even number
+// above two. That one stands by, and gets a place when one is free.
+func founders(all []ledger.Member, founder string) []ledger.Member {
+	if n := len(all); n%2 == 1 || n == 2 {
+		return all
+	}
+	last := -1
+	for i, m := range all {
+		if m.Addr != founder && (last < 0 || m.Addr > all[last].Addr) {
+			last = i
 		}
 	}
-	return ack{}, fault.New(fault.Refused, "not named in the founding")
+	return slices.Delete(slices.Clone(all), last, last+1)
+}
+
+func memberAddresses(members []ledger.Member) []string {
+	var out []string
+	for _, m := range members {
+		out = append(out, m.Addr)
+	}
+	return out
 }
 
 // begin keeps the founding state as the checkpoint of slot 0.
@@ -57,10 +106,16 @@
 	return s.install(paxos.Checkpoint{Sum: sum[:], State: raw}, event.Founded)
 }
 
-// install takes a checkpoint as all that this replica holds; learn is held.
+// install takes a checkpoint as all that this replica holds, unless it is of a
+// newer format, of a newer program's state or of another cluster; learn is held.
 func (s *Store) install(c paxos.Checkpoint, say event.Kind) error {
+	if c.Format > paxos.Format {
+		s.e.Log.Emit(event.Foreign, "format", c.Format, "own", paxos.Format)
+		return fault.New(fault.Input, "a snapshot of format %d, newer than %d", c.Format, paxos.Format)
+	}
 	led, err := ledger.Load(c.State)
 	if err != nil {
+		s.e.Log.Emit(event.Foreign, "slot", c.Slot, "why", err.Error())
 		return err
 	}
 	if mine := s.acc.Me().Mesh; mine != "" && mine != led.Mesh {
@@ -108,10 +163,15 @@
 	if in.Want == 3 {
 		in.Want = 0
 	}
+	in.Members = founders(in.Members, s.P.Inner)
+	if err := checkFounders(in.Members, s.acc.Me().ID); err != nil {
+		s.e.Log.Emit(event.Foreign, "mesh", in.Mesh, "why", err.Error())
+		return
+	}
 	if err := s.begin(in); err != nil {
 		return
 	}
-	ballot.Poll(ctx, s.g, addrs, func(ctx context.Context, to string) (ack, error) {
+	ballot.Poll(ctx, s.g, memberAddresses(in.Members), func(ctx context.Context, to string) (ack, error) {
 		if to == s.P.Inner {
 			return ack{}, nil
 		}
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"puffincrank/internal/ballot"
@@ -60,11 +61,36 @@
 		// A leader that took this empty store for the member that it was.
 		who = append(who, s.leaderAddress)
 	}
+	if s.candidate != "" && !slices.Contains(who, s.candidate) {
+		who = append(who, s.candidate)
+	}
+	s.mu.Unlock()
+	empty, at, best := s.askAround(ctx, who)
+	if best.addr != "" {
+		s.joinVia(ctx, best)
+	} else if bare && len(empty) == len(s.P.Seeds) && len(who) == len(s.P.Seeds) {
+		// Only the seeds themselves found. One that was in a cluster holds its state.
+		s.found(ctx, empty, at)
+	}
+}
+
+// source is a store that holds the cluster's state, and what it said of itself.
+type source struct {
+	foundGot
+	addr string
+}
+
+// askAround asks stores what they hold. It gives those that are empty, and the one
+// to be refilled from: one that names a leader or, where none does, the one that
+// has applied most, since only that may know of a place that this store was given
+// right before the leader was lost. It leaves half of the time for the refill, as
+// one that is cut off never answers.
+func (s *Store) askAround(ctx context.Context, who []string) (empty []foundGot, at []string, best source) {
+	ctx, end := context.WithTimeout(ctx, s.P.Patience())
+	defer end()
+	s.mu.Lock()
+	misled := s.misled
 	s.mu.Unlock()
-	var empty []foundGot
-	var at []string
-	var from foundGot
-	by := ""
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
 		if to == s.P.Inner {
 			return foundGot{Empty: true, ID: s.acc.Me().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}, nil
@@ -75,31 +101,31 @@
 		case err != nil:
 		case got.Empty:
 			empty, at = append(empty, got), append(at, to)
-		case got.Head != "" || by == "":
-			from, by = got, to
+		case best.addr == "" || !misled && best.Head == "" && got.Head != "" || (misled || best.Head == "") && got.Slot > best.Slot:
+			best = source{got, to}
 		}
 		// One that knows the leader is enough: another may be dead and never answer.
-		return from.Head != ""
+		return best.Head != "" && !misled
 	})
-	if by != "" {
-		s.joinVia(ctx, from, by)
-	} else if bare && len(empty) == len(s.P.Seeds) && len(who) == len(s.P.Seeds) {
-		// Only the seeds themselves found. One that was in a cluster holds its state.
-		s.found(ctx, empty, at)
-	}
+	return empty, at, best
 }
 
-// joinVia refills this replica from a peer and tells the leader of it.
-func (s *Store) joinVia(ctx context.Context, from foundGot, at string) {
+// joinVia refills this replica from a peer and tells the leader of it. A peer that
+// names a leader where none answers may be behind itself: it is not preferred the
+// next time.
+func (s *Store) joinVia(ctx context.Context, from source) {
 	s.mu.Lock()
 	was := s.state == nil
 	s.mu.Unlock()
-	err := s.refill(ctx, at)
+	err := s.refill(ctx, from.addr)
 	if was {
-		s.e.Log.Emit(event.Joining, "by", at, "ok", err == nil)
+		s.e.Log.Emit(event.Joining, "by", from.addr, "ok", err == nil)
 	}
 	if err == nil && !s.votes() && from.Head != "" {
-		s.reportToLeader(ctx, from.Head)
+		answers := s.reportToLeader(ctx, from.Head)
+		s.mu.Lock()
+		s.misled = !answers
+		s.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/internal/store/join_test.go
@@ -0,0 +1,182 @@
+package store
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/ballot"
+	"puffincrank/internal/env"
+	"puffincrank/internal/event"
+	"puffincrank/internal/ledger"
+	"puffincrank/internal/paxos"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+// peer is a node at an address that answers as the test says.
+func peer(t *testing.T, road *wire.Paved, addr string, answers func(*wire.Node)) {
+	t.Helper()
+	g := task.New(context.Background())
+	n := wire.NewNode(wire.Hello{Mesh: "m", Node: addr}, env.Env{Net: road, Wall: time.Now, Log: event.New(addr, nil)}, g, 1<<20, 8, time.Second)
+	answers(n)
+	if err := n.Listen(addr); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.Close()
+		g.Stop()
+	})
+}
+
+// says answers what a store holds, after a while.
+func says(got foundGot, after time.Duration) func(*wire.Node) {
+	return func(n *wire.Node) {
+		wire.On(n, "store.found", func(ctx context.Context, _ wire.Hello, _ foundAsk) (foundGot, error) {
+			task.Pause(ctx, after)
+			return got, ctx.Err()
+		})
+	}
+}
+
+// TestNewestSource: a store without a place is refilled from the peer that has
+// applied most when nobody leads, whoever answers first and whoever never answers;
+// from one that names a leader otherwise, unless that leader was not there the last
+// time.
+func TestNewestSource(t *testing.T) {
+	behind, newest := foundGot{Slot: 485}, foundGot{Slot: 490}
+	leads, never := foundGot{Slot: 480, Head: "c:1"}, time.Hour
+	for _, c := range []struct {
+		name    string
+		a, b, d foundGot
+		late    time.Duration // of the first
+		misled  bool
+		want    string
+	}{
+		{"the nearest is behind", behind, newest, foundGot{Empty: true}, 0, false, "b:1"},
+		{"the nearest has most", newest, behind, foundGot{Empty: true}, 0, false, "a:1"},
+		{"one never answers", newest, behind, foundGot{Slot: 3}, never, false, "b:1"},
+		{"one names a leader", newest, behind, leads, 0, false, "d:1"},
+		{"it names a leader that is gone", behind, newest, leads, 0, true, "b:1"},
+		{"all are empty", foundGot{Empty: true}, foundGot{Empty: true}, foundGot{Empty: true}, 0, false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, road := bare(t)
+				defer s.Kill()
+				s.misled = c.misled
+				peer(t, road, "a:1", says(c.a, c.late))
+				peer(t, road, "b:1", says(c.b, 10*time.Millisecond))
+				peer(t, road, "d:1", says(c.d, 20*time.Millisecond))
+				ctx, end := context.WithTimeout(t.Context(), 2*s.P.Patience())
+				defer end()
+				empty, _, got := s.askAround(ctx, []string{"a:1", "b:1", "d:1"})
+				if got.addr != c.want {
+					t.Errorf("it turns to %q", got.addr)
+				}
+				if c.want == "" && len(empty) != 3 {
+					t.Errorf("%d are empty", len(empty))
+				}
+				if ctx.Err() != nil {
+					t.Error("no time is left for the refill")
+				}
+			})
+		})
+	}
+}
+
+// TestCandidateKnown: a store that does not know of its place turns to the member
+// that asks for its vote, though neither its seeds nor its members name it.
+func TestCandidateKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := bare(t)
+		defer s.Kill()
+		for _, ask := range []ballotAsk{{Addr: "old:1"}, {Addr: "new:1", Slot: 9}} {
+			vote, err := s.onBallot(t.Context(), wire.Hello{}, ask)
+			if err != nil || vote.Yes {
+				t.Fatalf("an empty store votes: %+v, %v", vote, err)
+			}
+		}
+		if s.candidate != "new:1" {
+			t.Errorf("it knows of %q", s.candidate)
+		}
+	})
+}
+
+// firstEntry is a chosen entry that gives a member's place to another replica.
+func firstEntry(t *testing.T, old, joiner string) paxos.Entry {
+	t.Helper()
+	change, err := ledger.Pack("store.replace", &ledger.ReplaceStore{Old: old, New: ledger.Member{ID: joiner, Addr: joiner + ":1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ledger.Batch{change}.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return paxos.Entry{Slot: 1, Prev: []byte("zero"), Batch: raw, Num: ballot.Number{Round: 1, Who: "b"}}
+}
+
+// TestPlaceLearned: a store that stands by and is told by one that no longer leads
+// that more was applied takes it at once, and with it the place that it was given.
+func TestPlaceLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, road := bare(t)
+		defer s.Kill()
+		led := ledger.New("m", []ledger.Member{{ID: "a", Addr: "a:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}})
+		raw, err := led.Pack()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.install(paxos.Checkpoint{Sum: []byte("zero"), State: raw}, event.Refilled); err != nil || s.votes() {
+			t.Fatalf("%v, role %s", err, s.role.Now())
+		}
+		entry := firstEntry(t, "a", s.acc.Me().ID)
+		peer(t, road, "b:1", func(n *wire.Node) {
+			wire.On(n, "store.join", func(context.Context, wire.Hello, joinAsk) (joinGot, error) { return joinGot{Has: 1}, nil })
+			wire.On(n, "store.fetch", func(context.Context, wire.Hello, fetchAsk) (fetchGot, error) {
+				return fetchGot{Top: 1, Entries: []paxos.Entry{entry}}, nil
+			})
+		})
+		if !s.reportToLeader(t.Context(), "b:1") || !s.votes() {
+			t.Errorf("role %s after slot %d", s.role.Now(), s.slot)
+		}
+	})
+}
+
+// TestCatchUpWithoutLeader: while nobody can be elected, a member takes what a voter
+// has applied beyond it; when that says that it has no place any more, it stands by
+// under a new identity.
+func TestCatchUpWithoutLeader(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s, road := alone(t)
+			defer s.Kill()
+			me := s.acc.Me().ID
+			s.state.Members = []ledger.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
+			s.updateRole()
+			entry := firstEntry(t, me, "d")
+			if !removed {
+				entry = firstEntry(t, "c", "d")
+			}
+			peer(t, road, "b:1", func(n *wire.Node) {
+				wire.On(n, "store.ballot", func(context.Context, wire.Hello, ballotAsk) (ballotVote, error) {
+					return ballotVote{ID: "b", Slot: 1}, nil
+				})
+				wire.On(n, "store.fetch", func(context.Context, wire.Hello, fetchAsk) (fetchGot, error) {
+					return fetchGot{Top: 1, Entries: []paxos.Entry{entry}}, nil
+				})
+			})
+			if _, _, _, ok := s.askVotes(t.Context(), ballot.Number{}, false); ok {
+				t.Fatal("one vote of three was enough")
+			}
+			if s.slot != 1 {
+				t.Errorf("it has applied %d", s.slot)
+			}
+			if now := s.acc.Me().ID; (now != me) != removed || s.votes() == removed {
+				t.Errorf("removed %v: identity %s, was %s, role %s", removed, now, me, s.role.Now())
+			}
+		})
+	}
+}
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -15,6 +15,7 @@
 	Real bool          `msgpack:"r"` // false only asks whether the duty is vacant
 	Slot uint64        `msgpack:"s"` // what the asker has applied
 	Mesh string        `msgpack:"m"`
+	Addr string        `msgpack:"a,omitempty"` // of the candidate
 }
 
 type ballotVote struct {
--- a/internal/store/ready.go
+++ b/internal/store/ready.go
@@ -28,6 +28,8 @@
 		out.Why = "stands by, but no writer answers"
 	case s.state == nil || out.Role == "empty":
 		out.Why = "empty: waits for the founding or a place"
+	case s.leadership != nil && s.memberNames() != s.leadership.memberSet:
+		out.Why = "the members have changed, and none of them leads yet"
 	case out.Ill:
 		out.Why = "the disk refuses or is slow"
 	case out.Role != "spare" && s.leadership == nil && (out.Role != "follow" || quiet > s.P.Lease()):
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -23,10 +23,11 @@
 
 // snapshotHead announces a snapshot that travels in chunks.
 type snapshotHead struct {
-	ID   []byte `msgpack:"i"` // SHA-256 of its bytes
-	Slot uint64 `msgpack:"s"`
-	Sum  []byte `msgpack:"h"` // the identity of the entry at Slot
-	Size int    `msgpack:"z"`
+	ID     []byte `msgpack:"i"` // SHA-256 of its bytes
+	Slot   uint64 `msgpack:"s"`
+	Sum    []byte `msgpack:"h"` // the identity of the entry at Slot
+	Size   int    `msgpack:"z"`
+	Format int    `msgpack:"f,omitempty"` // of the stored files
 }
 
 // chunkAsk asks for the bytes of a snapshot from an offset on.
@@ -75,7 +76,7 @@
 		return nil, err
 	}
 	sum := sha256.Sum256(point.State)
-	made := &image{head: snapshotHead{ID: sum[:], Slot: point.Slot, Sum: point.Sum, Size: len(point.State)}, data: point.State, asked: time.Now()}
+	made := &image{head: snapshotHead{ID: sum[:], Slot: point.Slot, Sum: point.Sum, Size: len(point.State), Format: paxos.Format}, data: point.State, asked: time.Now()}
 	s.mu.Lock()
 	s.image = made
 	s.mu.Unlock()
--- a/internal/store/snapshot_test.go
+++ b/internal/store/snapshot_test.go
@@ -22,9 +22,8 @@
 	"puffincrank/internal/wire"
 )
 
-// alone is a store that is the one member of its cluster, on a network without
-// connections.
-func alone(t *testing.T) (*Store, *wire.Paved) {
+// bare is an empty store on a network without connections.
+func bare(t *testing.T) (*Store, *wire.Paved) {
 	t.Helper()
 	dir, err := disk.Open(t.TempDir())
 	if err != nil {
@@ -36,6 +35,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return s, road
+}
+
+// alone is a store that is the one member of its cluster, on a network without
+// connections.
+func alone(t *testing.T) (*Store, *wire.Paved) {
+	t.Helper()
+	s, road := bare(t)
 	led := ledger.New("m", []ledger.Member{{ID: s.acc.Me().ID, Addr: "me:1"}})
 	raw, err := led.Pack()
 	if err != nil {
@@ -47,6 +54,47 @@
 	return s, road
 }
 
+// packedState is a snapshot of the store's own cluster with one change.
+func packedState(t *testing.T, s *Store, change func(*ledger.State)) []byte {
+	t.Helper()
+	led := ledger.New("m", s.state.Members)
+	led.Rev = 77
+	change(led)
+	raw, err := led.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// TestNewerSnapshots: a whole snapshot of a newer format, of a state that a newer
+// program raised, of another cluster or torn is refused, and nothing of it taken.
+func TestNewerSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := alone(t)
+		defer s.Kill()
+		same := packedState(t, s, func(*ledger.State) {})
+		for _, c := range []struct {
+			name  string
+			point paxos.Checkpoint
+			fault string
+		}{
+			{"newer format", paxos.Checkpoint{Format: paxos.Format + 1, Slot: 9, State: same}, "a snapshot of format 2, newer than 1"},
+			{"newer level", paxos.Checkpoint{Slot: 9, State: packedState(t, s, func(l *ledger.State) { l.Level = ledger.Level + 1 })}, "the state needs a program of level 3, this one is of 2"},
+			{"another cluster", paxos.Checkpoint{Slot: 9, State: packedState(t, s, func(l *ledger.State) { l.Mesh = "other" })}, "data of mesh other"},
+			{"torn", paxos.Checkpoint{Slot: 9, State: same[:len(same)/2]}, "read checkpoint"},
+		} {
+			err := s.install(c.point, event.Refilled)
+			if err == nil || !strings.Contains(err.Error(), c.fault) || s.state.Rev == 77 || s.slot != 0 || s.acc.Point().Slot != 0 {
+				t.Errorf("%s: %v, slot %d", c.name, err, s.slot)
+			}
+		}
+		if err := s.install(paxos.Checkpoint{Format: paxos.Format, Slot: 9, State: same}, event.Refilled); err != nil || s.slot != 9 {
+			t.Errorf("one of our own: %v, slot %d", err, s.slot)
+		}
+	})
+}
+
 // packedBatch is a batch of one command that changes nothing.
 func packedBatch(t *testing.T) []byte {
 	t.Helper()
@@ -137,6 +185,7 @@
 			{"too large", snapshotHead{ID: sum[:], Size: 1 << 30}, nil, "announced size"},
 			{"empty", snapshotHead{ID: sum[:]}, nil, "announced size"},
 			{"without an identity", snapshotHead{Size: 10}, nil, "announced size"},
+			{"a newer format", snapshotHead{ID: sum[:], Slot: 9, Size: len(state), Format: paxos.Format + 1}, nil, "it is of format 2, newer than 1"},
 			{"a damaged chunk", good, func(c *chunkGot) error { c.Data[5] ^= 1; return nil }, "fails its checksum"},
 			{"a chunk of another", good, func(c *chunkGot) error { c.ID = other[:]; return nil }, "another snapshot"},
 			{"a chunk out of order", good, func(c *chunkGot) error { c.Offset += 7; return nil }, "in place of"},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,8 @@
 	leaving       bool                 // this member accepts nothing more: the others hold what it has
 	formerTerm    formerTerm           // what our last term knew of the members
 	lastJoined    time.Time            // when the leader last answered this learner
+	misled        bool                 // the leader that was last named by a peer didn't answer
+	candidate     string               // a store that stood for election and has applied more than this one
 	campaignFrom  time.Time            // after a leader gave up: from when on we stand
 	replacedAt    map[string]time.Time // address to when its store lost its place
 	smallSince    time.Time            // from when on a small core is worth a warning
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -54,6 +54,10 @@
 	able := s.votes() && !s.isMending() && !s.diskHangs() && !s.isForeign(in.Mesh, in.ID)
 	// One that knows of more entries may be a member by one of them.
 	v.Out = able && !s.isMember(in.ID) && s.slot >= in.Slot
+	if !s.votes() && in.Addr != "" && in.Slot > s.slot && !s.isForeign(in.Mesh, in.ID) {
+		// It asks for a vote that this store does not know it has.
+		s.candidate = in.Addr
+	}
 	s.mu.Unlock()
 	vow, quiet := s.voter.Vow()
 	v.Seen = vow
