A registry asks its own machine's store first; a leader tells bare seeds of itself

Ruled out: the core itself, which had a leader and all places taken. Mended: the platform's settings name a registry's own store first (the comment in the code had supposed that all along); a leader beats the seeds without a place, which note it when they are empty. The check of the registry's settings asks for the whole list now, stricter than the first address that it named before.

--- a/internal/house/platform_test.go
+++ b/internal/house/platform_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"unicode"
@@ -154,7 +155,7 @@
 				p.Service == "s1" && p.RepeatShare == 0.25 && p.Told.Milliseconds() == 1500 && p.Ready == "10.1.0.8:8302"
 		},
 		"registry": func(p props.Props) bool {
-			return p.Inner == "10.1.0.8:7620" && p.Outer == "10.1.0.8:8306" && p.Stores[0] == "10.1.0.13:7621" && p.Ready == ""
+			return p.Inner == "10.1.0.8:7620" && p.Outer == "10.1.0.8:8306" && slices.Equal(p.Stores, []string{"10.1.0.8:7621", "10.1.0.13:7621", "10.2.0.10:7621"}) && p.Ready == ""
 		},
 		"store": func(p props.Props) bool {
 			return p.Inner == "10.1.0.8:7621" && p.Data == "/data/x" && p.Node != "n-1" && !p.Founding && p.Bear == 2 && p.BearAreas == 3 && p.BearRegions == 1 && p.Region == "r" && p.Voters() == 7
--- a/internal/props/rows.go
+++ b/internal/props/rows.go
@@ -81,7 +81,7 @@
 		settings.Setting{Name: "repeat_allowance", Type: settings.Count, Def: int64(0), Check: settings.In(0, 100000), Rule: "0 to 100000; 0 of both leaves it to the document", Help: "bound: repeats besides, mesh-wide, over the window"})},
 	"registry": {Name: "registry", Rows: within(true,
 		settings.Setting{Name: "seeds", Type: settings.Addrs, Must: true, Check: some, Rule: "1 to 9 addresses", Help: "inner addresses of registries, this one among them or not"},
-		settings.Setting{Name: "stores", Type: settings.Addrs, Must: true, Check: some, Rule: "1 to 9 addresses", Help: "inner addresses of stores"},
+		settings.Setting{Name: "stores", Type: settings.Addrs, Must: true, Check: some, Rule: "1 to 9 addresses", Help: "inner addresses of stores, that of the own machine first"},
 		settings.Setting{Name: "data", Type: settings.Text, Rule: "a folder", Help: "the data folder, where the registrations outlive the loss of all processes; not kept if not given"})},
 	"store": {Name: "store", Rows: within(false,
 		settings.Setting{Name: "seeds", Type: settings.Addrs, Must: true, Check: some, Rule: "1 to 9 addresses", Help: "inner addresses of stores; at the founding all of them are empty"},
--- a/internal/sim/corelab_test.go
+++ b/internal/sim/corelab_test.go
@@ -173,19 +173,20 @@
 func (l *lab) holds(k map[string]uint64) {
 	l.T.Helper()
 	for key, rev := range k {
-		ok := false
+		ok, said := false, []string(nil)
 		for _, c := range l.Cores {
 			if c.Registry == nil || ok {
 				continue
 			}
 			code, got := l.Get(c.Host+":7003", "/puffin/keys/"+key+"?left_ms=2000")
+			said = append(said, fmt.Sprint(c.Host, " ", code, " ", got))
 			ok = code == 200 && got["value"] == key && got["rev"] == float64(rev)
 			if code == 200 && !ok {
 				l.T.Errorf("%s is %v, was acknowledged with revision %d", key, got, rev)
 			}
 		}
 		if !ok {
-			l.T.Errorf("%s, acknowledged with revision %d, is gone", key, rev)
+			l.T.Errorf("%s, acknowledged with revision %d, is gone: %v", key, rev, said)
 		}
 	}
 }
--- a/internal/sim/endofday_test.go
+++ b/internal/sim/endofday_test.go
@@ -131,24 +131,45 @@
 		l.T.Errorf("only %d writes were acknowledged", len(acked))
 	}
 	// Any disks may be lost, those of the same machines that had them before too.
-	for _, c := range all[:bear-lost] {
+	// Their machines come back empty at once, or are not heard of for a while.
+	emptied, away := all[:bear-lost], rnd.IntN(2) == 0
+	for _, c := range emptied {
 		c.Disk.Wipe()
+		l.Net.Isolate(c.Host, away)
 	}
-	for _, c := range all {
+	for i, c := range all {
 		Wait(time.Duration(rnd.IntN(500)) * time.Millisecond)
-		l.BackCore(c)
+		if !away || i >= len(emptied) {
+			l.BackCore(c)
+		}
 	}
+	l.orDescribe("a store leads", func() bool { return l.Writer() != nil })
+	if away {
+		l.holds(acked)
+		for _, c := range emptied {
+			l.Net.Isolate(c.Host, false)
+			l.BackCore(c)
+		}
+	}
+	l.orDescribe("all places are taken", func() bool { return l.settled(2*bear + 1) })
+	l.holds(acked)
+	// What was made anew by then must bear the next.
+	Wait(4 * time.Second)
+}
+
+// orDescribe waits for 15 s, and tells how the stores stand when that was not enough.
+func (l *lab) orDescribe(what string, ok func() bool) {
+	l.T.Helper()
 	from := time.Now()
-	l.Until(15*time.Second, "a store leads", func() bool {
+	l.Until(15*time.Second, what, func() bool {
+		if ok() {
+			return true
+		}
 		if time.Since(from) > 14900*time.Millisecond {
 			l.describe()
 		}
-		return l.Writer() != nil
+		return false
 	})
-	l.Until(15*time.Second, "all places are taken", func() bool { return l.settled(2*bear + 1) })
-	l.holds(acked)
-	// What was made anew by then must bear the next.
-	Wait(4 * time.Second)
 }
 
 // describe logs what each store says of itself.
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -183,11 +183,22 @@
 	f.mu.Unlock()
 }
 
+// storesOf gives the stores that a machine's registry is told of: its own first.
+func (f *Fleet) storesOf(c *Core) []any {
+	hosts := []string{c.Host}
+	for _, h := range f.seedsOf(c) {
+		if h != c.Host {
+			hosts = append(hosts, h)
+		}
+	}
+	return ports(hosts, 7001)
+}
+
 // StartRegistry starts the registry of a core machine.
 func (f *Fleet) StartRegistry(c *Core) {
 	e := f.env("core-"+c.Host, c.Host, c.Area, &c.skew)
 	e.FS = c.Disk
-	r := registry.New(f.props("registry", "core-"+c.Host, c.Area, c.Host, 7002, 7003, map[string]any{"seeds": ports(f.seedsOf(c), 7002), "stores": ports(f.seedsOf(c), 7001), "data": "x"}), e)
+	r := registry.New(f.props("registry", "core-"+c.Host, c.Area, c.Host, 7002, 7003, map[string]any{"seeds": ports(f.seedsOf(c), 7002), "stores": f.storesOf(c), "data": "x"}), e)
 	if err := r.Start(); err != nil {
 		f.T.Fatalf("registry at %s: %v", c.Host, err)
 	}
--- a/internal/store/confirm.go
+++ b/internal/store/confirm.go
@@ -104,9 +104,7 @@
 	s := t.s
 	from, round := time.Now(), t.rounds.Add(1)
 	s.e.Trace.Tell(trace.RoundBegan{Replica: s.acc.Me().ID, Round: round})
-	s.mu.Lock()
-	ask := beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.Mesh}
-	s.mu.Unlock()
+	ask := t.beatOfNow()
 	who, need := s.memberAddresses()
 	yes, higher := 0, 0
 	// A slow member's answer still counts as heard after the majority is in.
--- a/internal/store/join_test.go
+++ b/internal/store/join_test.go
@@ -180,3 +180,39 @@
 		})
 	}
 }
+
+// TestGreetSeeds: a leader tells a seed that has no place who leads, and an empty
+// store turns to the leader that it is told of.
+func TestGreetSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, road := alone(t)
+		defer s.Kill()
+		s.P.Seeds = []string{"me:1", "seed:1", "heard:1"}
+		var told beatAsk
+		peer(t, road, "seed:1", func(n *wire.Node) {
+			wire.On(n, "store.beat", func(_ context.Context, _ wire.Hello, in beatAsk) (ack, error) {
+				told = in
+				return ack{}, nil
+			})
+		})
+		peer(t, road, "heard:1", func(n *wire.Node) {
+			wire.On(n, "store.beat", func(context.Context, wire.Hello, beatAsk) (ack, error) {
+				t.Error("a learner that is heard of was told")
+				return ack{}, nil
+			})
+		})
+		term := s.newLeadership(ballot.Number{Round: 1, Who: s.acc.Me().ID})
+		defer term.stop()
+		term.noteLearner(joinAsk{ID: "l", Addr: "heard:1"})
+		term.greetSeeds(t.Context())
+		<-time.After(time.Second)
+		if told.Addr != "me:1" || told.Mesh != "m" {
+			t.Fatalf("the seed was told %+v", told)
+		}
+		empty, _ := bare(t)
+		defer empty.Kill()
+		if _, err := empty.onBeat(t.Context(), wire.Hello{}, told); err != nil || empty.leaderAddress != "me:1" {
+			t.Errorf("the empty store knows of %q, %v", empty.leaderAddress, err)
+		}
+	})
+}
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -52,6 +52,7 @@
 	t.g.Every("lock-clock", t.s.P.Lease(), t.expireLocks)
 	t.g.Every("command-level", t.s.P.Beat(), t.raiseLevel)
 	t.g.Every("core-watch", t.s.P.Lease(), t.watch)
+	t.g.Every("greet-seeds", t.s.P.CatchUp/4, t.greetSeeds)
 }
 
 // stop stops the term's loops; what they were doing stays unknown.
