--- a/internal/props/props_test.go
+++ b/internal/props/props_test.go
@@ -150,3 +150,21 @@
 		t.Errorf("changed: %v", got)
 	}
 }
+
+// TestAddresses: a list of addresses is made such that the check of a setting takes
+// it, and keeps its order.
+func TestAddresses(t *testing.T) {
+	many := make([]string, 20)
+	for i := range many {
+		many[i] = fmt.Sprintf("10.0.0.%d:7001", i/2)
+	}
+	for _, c := range []struct {
+		all  []string
+		want int
+	}{{[]string{"b:1"}, 1}, {[]string{"b:1", "a:1", "b:1"}, 2}, {many, maxAddresses}} {
+		got := Addresses(c.all)
+		if len(got) != c.want || got[0] != c.all[0] || some(got) != nil {
+			t.Errorf("of %v it lists %v", c.all, got)
+		}
+	}
+}
--- a/internal/props/rows.go
+++ b/internal/props/rows.go
@@ -7,11 +7,26 @@
 	"puffincrank/internal/settings"
 )
 
+// maxAddresses is how many addresses a setting may list.
+const maxAddresses = 9
+
+// Addresses lists addresses as a setting takes them: each once, in order, and no
+// more than may be listed.
+func Addresses(all []string) []string {
+	var out []string
+	for _, a := range all {
+		if len(out) < maxAddresses && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // some checks a list of addresses. One given twice would be counted twice when
 // a mesh is founded.
 func some(v any) error {
 	l, ok := v.([]string)
-	if !ok || len(l) < 1 || len(l) > 9 {
+	if !ok || len(l) < 1 || len(l) > maxAddresses {
 		return errors.New("must be 1 to 9 addresses")
 	}
 	l = slices.Clone(l)
