--- a/internal/ballot/ballot_test.go
+++ b/internal/ballot/ballot_test.go
@@ -11,33 +11,33 @@
 	"puffincrank/internal/task"
 )
 
-// TestVacated: what a holder still had under way when it gave the duty up is no
-// sign of life: the duty stays vacant until another number is promised.
+// TestVacated: what a holder still had under way when it gave the role up is no
+// sign of life: the role stays vacant until another number is promised.
 func TestVacated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v := ballot.NewVoter(ballot.Number{}, time.Second, func(ballot.Number) error { return nil })
-		a, b := ballot.Number{Round: 1, Who: "a"}, ballot.Number{Round: 2, Who: "b"}
-		if ok, _, _ := v.Ask(a); !ok {
+		a, b := ballot.Number{Round: 1, Candidate: "a"}, ballot.Number{Round: 2, Candidate: "b"}
+		if ok, _, _ := v.Vote(a); !ok {
 			t.Fatal("the first is turned away")
 		}
-		if ok, _, _ := v.Ask(b); ok {
+		if ok, _, _ := v.Vote(b); ok {
 			t.Fatal("one is promised while the holder is heard")
 		}
 		v.Vacate(a)
-		if ok, _, _ := v.Beat(a); !ok {
+		if ok, _, _ := v.Heartbeat(a); !ok {
 			t.Error("its ballot still is the highest")
 		}
-		v.Rise(a)
-		if _, quiet := v.Vow(); quiet < time.Second {
+		v.RaisePromise(a)
+		if _, quiet := v.Promised(); quiet < time.Second {
 			t.Errorf("heard %v ago", quiet)
 		}
-		if ok, _, _ := v.Ask(b); !ok {
+		if ok, _, _ := v.Vote(b); !ok {
 			t.Error("the duty is not vacant")
 		}
-		if ok, _, _ := v.Beat(b); !ok {
+		if ok, _, _ := v.Heartbeat(b); !ok {
 			t.Error("the new holder is turned away")
 		}
-		if _, quiet := v.Vow(); quiet > time.Second {
+		if _, quiet := v.Promised(); quiet > time.Second {
 			t.Error("the new holder is not heard")
 		}
 	})
@@ -48,22 +48,22 @@
 func TestHangingPromise(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		disk := make(chan error)
-		v := ballot.NewVoter(ballot.Number{Round: 1, Who: "a"}, time.Second, func(ballot.Number) error { return <-disk })
+		v := ballot.NewVoter(ballot.Number{Round: 1, Candidate: "a"}, time.Second, func(ballot.Number) error { return <-disk })
 		g := task.New(t.Context())
 		defer g.Stop()
 		wait := time.NewTimer(2 * time.Second)
 		<-wait.C
 		got := make(chan bool, 1)
 		g.Go("ask", func(context.Context) {
-			ok, _, _ := v.Ask(ballot.Number{Round: 2, Who: "b"})
+			ok, _, _ := v.Vote(ballot.Number{Round: 2, Candidate: "b"})
 			got <- ok
 		})
 		synctest.Wait()
-		if ok, _, _ := v.Beat(ballot.Number{Round: 1, Who: "a"}); !ok {
+		if ok, _, _ := v.Heartbeat(ballot.Number{Round: 1, Candidate: "a"}); !ok {
 			t.Error("the holder is turned away before another is promised")
 		}
-		if vow, _ := v.Vow(); vow.Round != 1 {
-			t.Errorf("promised %v before it is kept", vow)
+		if promised, _ := v.Promised(); promised.Round != 1 {
+			t.Errorf("promised %v before it is kept", promised)
 		}
 		disk <- fault.New(fault.Stale, "a version of a higher ballot was accepted")
 		if <-got {
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -34,24 +34,24 @@
 	Close() error
 }
 
-const aside = ".aside"
+const temporarySuffix = ".aside"
 
 var magic = []byte("PUFFIN1\n")
 
 // Save keeps data under name; when it returns nil the bytes are synced.
 func Save(fs FS, name string, data []byte) error { return save(fs, name, data, true) }
 
-// Add keeps data under a name that no file in the folder has or had, for one
+// SaveNew keeps data under a name that no file in the folder has or had, for one
 // sync in place of two: when it returns nil the bytes are synced, under the name
 // or, when power is lost before the folder is synced, under that of the file
 // aside. Adopt gives it its name then.
-func Add(fs FS, name string, data []byte) error { return save(fs, name, data, false) }
+func SaveNew(fs FS, name string, data []byte) error { return save(fs, name, data, false) }
 
 func save(fs FS, name string, data []byte, folder bool) error {
 	sum := sha256.Sum256(data)
 	head := append(append([]byte(nil), magic...), sum[:]...)
 	head = binary.BigEndian.AppendUint32(head, uint32(len(data)))
-	f, err := fs.Create(name + aside)
+	f, err := fs.Create(name + temporarySuffix)
 	if err != nil {
 		return fault.Wrap(fault.Disk, err, "create "+name)
 	}
@@ -66,20 +66,20 @@
 		err = end
 	}
 	if err == nil {
-		err = fs.Rename(name+aside, name)
+		err = fs.Rename(name+temporarySuffix, name)
 	}
 	if err == nil && folder {
 		err = fs.SyncDir()
 	}
 	if err != nil {
 		// A left-over must not eat the room of the next try.
-		_ = fs.Remove(name + aside)
+		_ = fs.Remove(name + temporarySuffix)
 	}
 	return fault.Wrap(fault.Disk, err, "keep "+name)
 }
 
-// Full tells that a write was refused for want of room.
-func Full(err error) bool {
+// IsFull tells that a write was refused for want of room.
+func IsFull(err error) bool {
 	return fault.Has(err, syscall.ENOSPC) || fault.Has(err, syscall.EDQUOT)
 }
 
@@ -101,16 +101,16 @@
 	return data, nil
 }
 
-// Adopt names the whole files of a prefix that were added when power was lost.
+// AdoptUnrenamed names the whole files of a prefix that were added when power was lost.
 // One whose name another file has was never the one that counted.
-func Adopt(fs FS, prefix string) error {
+func AdoptUnrenamed(fs FS, prefix string) error {
 	all, err := fs.List()
 	if err != nil {
 		return fault.Wrap(fault.Disk, err, "list folder")
 	}
 	took := false
 	for _, n := range all {
-		name, ok := strings.CutSuffix(n, aside)
+		name, ok := strings.CutSuffix(n, temporarySuffix)
 		if !ok || !strings.HasPrefix(name, prefix) || slices.Contains(all, name) {
 			continue
 		}
@@ -136,7 +136,7 @@
 	}
 	var out []string
 	for _, n := range all {
-		if strings.HasSuffix(n, aside) {
+		if strings.HasSuffix(n, temporarySuffix) {
 			_ = fs.Remove(n)
 			continue
 		}
--- a/internal/house/wire_test.go
+++ b/internal/house/wire_test.go
@@ -50,13 +50,31 @@
 	}
 }
 
+// renamed gives the names of now of types whose Go names have changed since a
+// version was recorded. A type's name doesn't travel.
+var renamed = map[string]string{
+	"paxos.Checkpoint": "paxos.Snapshot",
+}
+
+// ofNow is a recorded line with the names of now.
+func ofNow(line string) string {
+	words := strings.Split(line, " ")
+	for i, w := range words {
+		bare := strings.TrimLeft(w, "[]*")
+		if now, ok := renamed[bare]; ok {
+			words[i] = w[:len(w)-len(bare)] + now
+		}
+	}
+	return strings.Join(words, " ")
+}
+
 // TestFields: every field that an earlier version sent or stored is still
 // there under its name and type, so that both can be mixed in a roll, both
 // ways. New fields are passed over by the old.
 func TestFields(t *testing.T) {
 	now := map[string]bool{}
 	all := append(store.Messages(), wire.Hello{}, session.Beat{}, session.Receipt{}, session.Push{}, session.PushBack{}, session.ListAsk{}, session.ListBack{}, session.Share{}, session.ShareBack{}, session.Outer{},
-		session.OuterBack{}, session.Report{}, session.Hand{}, session.Back{}, ormap.Delta{}, plumtree.Message{}, paxos.Entry{}, paxos.Identity{}, paxos.Checkpoint{},
+		session.OuterBack{}, session.Report{}, session.Hand{}, session.Back{}, ormap.Delta{}, plumtree.Message{}, paxos.Entry{}, paxos.Identity{}, paxos.Snapshot{},
 		ledger.State{}, ledger.Packed{}, proxy.Status{}, proxy.StatusAsk{}, proxy.DrainAsk{}, registry.Status{})
 	for name, c := range ledger.Kinds() {
 		now["command "+name+" "+reflect.TypeOf(c).Elem().Name()] = true
@@ -94,7 +112,7 @@
 			t.Fatal(err)
 		}
 		for _, line := range strings.Split(strings.TrimSpace(string(raw)), "\n") {
-			if !now[line] {
+			if !now[ofNow(line)] {
 				t.Errorf("%s: gone or changed: %s", name, line)
 			}
 		}
--- a/internal/ledger/coord.go
+++ b/internal/ledger/coord.go
@@ -149,7 +149,7 @@
 
 func (s *State) fence(duty string, n ballot.Number) Receipt {
 	if n.Less(s.Duties[duty]) {
-		return Receipt{Code: Fenced, Say: "the duty " + duty + " has passed to " + s.Duties[duty].Who}
+		return Receipt{Code: Fenced, Say: "the duty " + duty + " has passed to " + s.Duties[duty].Candidate}
 	}
 	s.Duties[duty] = n
 	return Receipt{Code: OK}
--- a/internal/ledger/fence_test.go
+++ b/internal/ledger/fence_test.go
@@ -11,7 +11,7 @@
 // was followed by another changes nothing, also after a snapshot.
 func TestDutyFenced(t *testing.T) {
 	s := ledger.New("m", nil)
-	old, now := ballot.Number{Round: 3, Who: "a"}, ballot.Number{Round: 4, Who: "b"}
+	old, now := ballot.Number{Round: 3, Candidate: "a"}, ballot.Number{Round: 4, Candidate: "b"}
 	take(t, s, "config.number", &ledger.NumberConfig{Number: 1, Doc: []byte("{}")})
 	take(t, s, "trial.propose", &ledger.Propose{ID: 1, Base: 1, Doc: []byte("{}"), Paths: []string{"p"}})
 	for i, c := range []struct {
--- a/internal/model/monitor_test.go
+++ b/internal/model/monitor_test.go
@@ -9,8 +9,8 @@
 )
 
 var (
-	one = ballot.Number{Round: 1, Who: "a"}
-	two = ballot.Number{Round: 2, Who: "b"}
+	one = ballot.Number{Round: 1, Candidate: "a"}
+	two = ballot.Number{Round: 2, Candidate: "b"}
 	abc = []string{"a", "b", "c"}
 	abd = []string{"a", "b", "d"}
 )
--- a/internal/model/rules.go
+++ b/internal/model/rules.go
@@ -37,7 +37,7 @@
 // elected checks that the votes are promises of a majority of the members, who
 // are those that the slots up to the leader's newest leave.
 func (m *Monitor) elected(s trace.Elected) {
-	if s.Ballot.Who != s.Replica {
+	if s.Ballot.Candidate != s.Replica {
 		m.fault("%s counts the votes for %v", s.Replica, s.Ballot)
 	}
 	m.checkMembers(s.Replica, s.Slot, s.Members)
--- a/internal/paxos/acceptor.go
+++ b/internal/paxos/acceptor.go
@@ -1,7 +1,7 @@
 // Package paxos is the durable part of multi-decree Paxos: promises, accepted
-// versions and checkpoints, each one file, and the rule by which a version is
-// known to be chosen. One slot is decided at a time, so a version accepted in
-// slot n says that slot n-1 was chosen; its Prev names which value that was.
+// entries and snapshots, each one file, and the rule by which an entry is
+// known to be chosen. One index is decided at a time, so an entry accepted at
+// index n says that index n-1 was chosen; its Previous names which value that was.
 package paxos
 
 import (
@@ -22,63 +22,63 @@
 // Format is the version of the stored files.
 const Format = 1
 
-// Entry is one version: the batch of commands of one slot.
+// Entry is one entry of the log: the batch of commands at one index.
 type Entry struct {
-	Format int           `msgpack:"f"`
-	Slot   uint64        `msgpack:"s"`
-	Prev   []byte        `msgpack:"p"`
-	Batch  []byte        `msgpack:"b"`
-	Num    ballot.Number `msgpack:"n"`
+	Format   int           `msgpack:"f"`
+	Index    uint64        `msgpack:"s"`
+	Previous []byte        `msgpack:"p"`
+	Batch    []byte        `msgpack:"b"`
+	Ballot   ballot.Number `msgpack:"n"`
 }
 
-// Sum is the identity of the value, whatever ballot it was accepted by.
-func (e *Entry) Sum() []byte {
+// Digest is the identity of the value, whatever ballot it was accepted by.
+func (e *Entry) Digest() []byte {
 	h := sha256.New()
-	_ = binary.Write(h, binary.BigEndian, e.Slot)
-	h.Write(e.Prev)
+	_ = binary.Write(h, binary.BigEndian, e.Index)
+	h.Write(e.Previous)
 	h.Write(e.Batch)
 	return h.Sum(nil)
 }
 
 // Identity names a replica: lost with its disk, never given again.
 type Identity struct {
-	Format int    `msgpack:"f"`
-	ID     string `msgpack:"i"`
-	Mesh   string `msgpack:"m"`
+	Format    int    `msgpack:"f"`
+	ID        string `msgpack:"i"`
+	ClusterID string `msgpack:"m"`
 }
 
-// Checkpoint is the state after a slot.
-type Checkpoint struct {
+// Snapshot is the state after an index.
+type Snapshot struct {
 	Format int    `msgpack:"f"`
-	Slot   uint64 `msgpack:"s"`
-	Sum    []byte `msgpack:"h"`
+	Index  uint64 `msgpack:"s"`
+	Digest []byte `msgpack:"h"`
 	State  []byte `msgpack:"d"`
 }
 
 // Acceptor holds the files of one replica.
 type Acceptor struct {
-	fs      disk.FS
-	big     task.Lock  // one checkpoint at a time; taken before io
-	io      task.Lock  // one promise or version at a time; taken before mu
-	mu      sync.Mutex // the fields below, never held over a write
-	entries map[uint64]*Entry
-	sums    map[uint64][]byte
-	low     uint64 // the highest slot that was trimmed
-	me      Identity
-	vow     ballot.Number
-	point   *Checkpoint // without its state, which stays on the disk
-	spare   int         // bytes that are kept free for a checkpoint, as far as known
-	harmed  uint64      // the highest slot whose file was damaged
-	Notes   []string    // what was found damaged at start
+	fs            disk.FS
+	snapshotLock  task.Lock  // one snapshot at a time; taken before writeLock
+	writeLock     task.Lock  // one promise or entry at a time; taken before mu
+	mu            sync.Mutex // the fields below, never held over a write
+	entries       map[uint64]*Entry
+	sums          map[uint64][]byte
+	compactedTo   uint64 // the highest index that was compacted
+	identity      Identity
+	promised      ballot.Number
+	latest        *Snapshot // without its state, which stays on the disk
+	reservedBytes int       // bytes that are kept free for a snapshot, as far as known
+	damagedUpTo   uint64    // the highest index whose file was damaged
+	DamagedFiles  []string  // what was found damaged at start
 	// Observe is told of each promise and each accepted entry once it is durable.
 	Observe trace.Observer
 }
 
 // Open reads the folder of a replica. A damaged identity, promise or only
-// checkpoint makes the replica empty: its old votes must not be lent again.
+// snapshot makes the replica empty: its old votes must not be lent again.
 func Open(fs disk.FS) (*Acceptor, error) {
-	a := &Acceptor{fs: fs, big: task.NewLock(), io: task.NewLock(), entries: map[uint64]*Entry{}, sums: map[uint64][]byte{}}
-	if err := disk.Adopt(fs, "v-"); err != nil {
+	a := &Acceptor{fs: fs, snapshotLock: task.NewLock(), writeLock: task.NewLock(), entries: map[uint64]*Entry{}, sums: map[uint64][]byte{}}
+	if err := disk.AdoptUnrenamed(fs, "v-"); err != nil {
 		return nil, err
 	}
 	names, err := disk.Names(fs, "")
@@ -86,82 +86,104 @@
 		return nil, err
 	}
 	lost := false
-	for _, n := range names {
-		if len(n) < 2 || n[1] != '-' {
-			continue
-		}
-		var into any
-		var e Entry
-		var c Checkpoint
-		switch n[0] {
-		case 'i':
-			into = &a.me
-		case 'p':
-			into = &a.vow
-		case 'v':
-			into = &e
-		case 'c':
-			into = &c
-		default:
-			continue
-		}
-		data, err := disk.Load(fs, n)
-		if fault.Is(err, fault.Disk) {
-			return nil, err
-		}
-		if err == nil {
-			err = msgpack.Unmarshal(data, into)
-		}
+	for _, name := range names {
+		vital, err := a.load(name)
 		if err != nil {
-			a.Notes = append(a.Notes, n)
-			if n[0] == 'v' {
-				var slot uint64
-				_, _ = fmt.Sscanf(n, "v-%x", &slot)
-				a.harmed = max(a.harmed, slot)
-			} else if n[0] != 'c' {
-				lost = true
-			}
-			_ = fs.Rename(n, "bad-"+n)
-			continue
-		}
-		if f := max(e.Format, c.Format, a.me.Format); f > Format {
-			return nil, fault.New(fault.Input, "file %s is of format %d, newer than %d", n, f, Format)
-		}
-		if n[0] == 'v' {
-			a.entries[e.Slot], a.sums[e.Slot] = &e, e.Sum()
-		}
-		if n[0] == 'c' && (a.point == nil || c.Slot > a.point.Slot) {
-			a.point = c.head()
+			return nil, err
 		}
+		lost = lost || vital
 	}
 	// What was put aside must not come back under a name that is used anew.
-	if len(a.Notes) > 0 {
+	if len(a.DamagedFiles) > 0 {
 		if err := fs.SyncDir(); err != nil {
 			return nil, fault.Wrap(fault.Disk, err, "put aside")
 		}
 	}
-	if a.point == nil && (len(a.entries) > 0 || len(a.Notes) > 0) {
+	if a.latest == nil && (len(a.entries) > 0 || len(a.DamagedFiles) > 0) {
 		lost = true
 	}
 	if lost {
-		a.clear()
+		a.forgetAll()
 		return a, nil
 	}
+	a.settle()
+	return a, nil
+}
+
+// load takes up one file of the folder. A damaged one is put aside; lost tells
+// that the replica can't do without it.
+func (a *Acceptor) load(name string) (lost bool, err error) {
+	if len(name) < 2 || name[1] != '-' {
+		return false, nil
+	}
+	var e Entry
+	var c Snapshot
+	var into any
+	switch name[0] {
+	case 'i':
+		into = &a.identity
+	case 'p':
+		into = &a.promised
+	case 'v':
+		into = &e
+	case 'c':
+		into = &c
+	default:
+		return false, nil
+	}
+	data, err := disk.Load(a.fs, name)
+	if fault.Is(err, fault.Disk) {
+		return false, err
+	}
+	if err == nil {
+		err = msgpack.Unmarshal(data, into)
+	}
+	if err != nil {
+		return a.putAside(name), nil
+	}
+	if f := max(e.Format, c.Format, a.identity.Format); f > Format {
+		return false, fault.New(fault.Input, "file %s is of format %d, newer than %d", name, f, Format)
+	}
+	if name[0] == 'v' {
+		a.entries[e.Index], a.sums[e.Index] = &e, e.Digest()
+	}
+	if name[0] == 'c' && (a.latest == nil || c.Index > a.latest.Index) {
+		a.latest = c.withoutState()
+	}
+	return false, nil
+}
+
+// putAside renames a damaged file, and tells whether the replica can't do without
+// it: it can without an entry, which others hold, or one of several snapshots.
+func (a *Acceptor) putAside(name string) (lost bool) {
+	a.DamagedFiles = append(a.DamagedFiles, name)
+	_ = a.fs.Rename(name, "bad-"+name)
+	if name[0] != 'v' {
+		return name[0] != 'c'
+	}
+	var index uint64
+	_, _ = fmt.Sscanf(name, "v-%x", &index)
+	a.damagedUpTo = max(a.damagedUpTo, index)
+	return false
+}
+
+// settle works out what follows from all the files together.
+func (a *Acceptor) settle() {
 	for _, e := range a.entries {
-		if a.vow.Less(e.Num) {
-			a.vow = e.Num
+		if a.promised.Less(e.Ballot) {
+			a.promised = e.Ballot
 		}
 	}
-	if a.point != nil {
-		a.low = a.point.Slot
-		for s := a.point.Slot; a.entries[s] != nil; s-- {
-			a.low = s - 1
-		}
+	if a.latest == nil {
+		return
+	}
+	a.compactedTo = a.latest.Index
+	for index := a.latest.Index; a.entries[index] != nil; index-- {
+		a.compactedTo = index - 1
 	}
-	return a, nil
 }
 
-func (a *Acceptor) clear() {
+func (a *Acceptor) forgetAll() {
 	names, _ := disk.Names(a.fs, "")
 	for _, n := range names {
 		if len(n) > 2 && n[1] == '-' {
@@ -171,7 +193,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.entries, a.sums = map[uint64]*Entry{}, map[uint64][]byte{}
-	a.me, a.vow, a.point, a.harmed, a.low, a.spare = Identity{}, ballot.Number{}, nil, 0, 0, 0
+	a.identity, a.promised, a.latest, a.damagedUpTo, a.compactedTo, a.reservedBytes = Identity{}, ballot.Number{}, nil, 0, 0, 0
 }
 
 func (a *Acceptor) save(name string, v any) error { return a.saveBy(disk.Save, name, v) }
@@ -184,44 +206,44 @@
 	return save(a.fs, name, b)
 }
 
-// Name keeps the identity.
-func (a *Acceptor) Name(id Identity) error {
+// SetIdentity keeps the identity.
+func (a *Acceptor) SetIdentity(id Identity) error {
 	id.Format = Format
-	a.io.Lock()
-	defer a.io.Unlock()
+	a.writeLock.Lock()
+	defer a.writeLock.Unlock()
 	if err := a.save("i-identity", &id); err != nil {
 		return err
 	}
 	a.mu.Lock()
-	a.me = id
+	a.identity = id
 	a.mu.Unlock()
 	return nil
 }
 
-// Me gives the identity.
-func (a *Acceptor) Me() Identity {
+// Identity gives the identity.
+func (a *Acceptor) Identity() Identity {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.me
+	return a.identity
 }
 
-// Vow gives the highest promise.
-func (a *Acceptor) Vow() ballot.Number {
+// Promised gives the highest promise.
+func (a *Acceptor) Promised() ballot.Number {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.vow
+	return a.promised
 }
 
-// Point gives the newest checkpoint without its state, or nil.
-func (a *Acceptor) Point() *Checkpoint {
+// LatestSnapshot gives the newest snapshot without its state, or nil.
+func (a *Acceptor) LatestSnapshot() *Snapshot {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.point
+	return a.latest
 }
 
-// Harmed gives the highest slot whose file was found damaged.
-func (a *Acceptor) Harmed() uint64 {
+// DamagedUpTo gives the highest index whose file was found damaged.
+func (a *Acceptor) DamagedUpTo() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.harmed
+	return a.damagedUpTo
 }
--- a/internal/paxos/add_test.go
+++ b/internal/paxos/add_test.go
@@ -14,8 +14,8 @@
 )
 
 // TestAdded: whatever was accepted is there after any row of accepts, learned
-// versions, new ballots on old slots, checkpoints, kills and losses of power;
-// and the first version of a slot costs one sync.
+// entries, new ballots on old indexes, snapshots, kills and losses of power;
+// and the first entry of an index costs one sync.
 func TestAdded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := sim.NewDisk()
@@ -23,13 +23,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_ = a.Name(paxos.Identity{ID: "r"})
-		_ = a.Reset(paxos.Checkpoint{Sum: []byte("z")})
+		_ = a.SetIdentity(paxos.Identity{ID: "r"})
+		_ = a.InstallSnapshot(paxos.Snapshot{Digest: []byte("z")})
 		has := map[uint64]ballot.Number{}
 		round, top, low := uint64(1), uint64(0), uint64(0)
-		entry := func(slot uint64) paxos.Entry {
-			n := ballot.Number{Round: round, Who: "w"}
-			return paxos.Entry{Slot: slot, Prev: []byte("p"), Batch: []byte(fmt.Sprint(slot, " ", n)), Num: n}
+		entry := func(index uint64) paxos.Entry {
+			n := ballot.Number{Round: round, Candidate: "w"}
+			return paxos.Entry{Index: index, Previous: []byte("p"), Batch: []byte(fmt.Sprint(index, " ", n)), Ballot: n}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 6).Draw(t, "op") {
@@ -43,17 +43,17 @@
 				if first && has[top-1].Round == round && d.Syncs-was != 1 {
 					t.Fatalf("%d syncs for one version", d.Syncs-was)
 				}
-				has[top] = ballot.Number{Round: round, Who: "w"}
+				has[top] = ballot.Number{Round: round, Candidate: "w"}
 			case 3:
 				if top > low {
 					round++
 					if err := a.Accept(entry(top)); err != nil {
 						t.Fatal(err)
 					}
-					has[top] = ballot.Number{Round: round, Who: "w"}
+					has[top] = ballot.Number{Round: round, Candidate: "w"}
 				}
 			case 4:
-				if top > low+2 && a.Keep("r", paxos.Checkpoint{Slot: top - 1, Sum: []byte("s")}, 0) == nil {
+				if top > low+2 && a.SaveSnapshot("r", paxos.Snapshot{Index: top - 1, Digest: []byte("s")}, 0) == nil {
 					low = top - 1
 				}
 			case 5:
@@ -74,15 +74,15 @@
 			}
 			got := map[uint64]ballot.Number{}
 			for _, e := range a.After(low, 1000) {
-				got[e.Slot] = e.Num
+				got[e.Index] = e.Ballot
 			}
 			for s := low + 1; s <= top; s++ {
 				if got[s].Less(has[s]) {
-					t.Fatalf("slot %d: %v is there, %v was accepted", s, got[s], has[s])
+					t.Fatalf("index %d: %v is there, %v was accepted", s, got[s], has[s])
 				}
 			}
-			if a.Vow().Less(has[top]) || a.Harmed() > 0 {
-				t.Fatalf("promise %v, harmed %d", a.Vow(), a.Harmed())
+			if a.Promised().Less(has[top]) || a.DamagedUpTo() > 0 {
+				t.Fatalf("promise %v, harmed %d", a.Promised(), a.DamagedUpTo())
 			}
 		}
 	})
@@ -113,7 +113,7 @@
 	d.Harm("v-3", true)
 	_ = d.Rename("v-3", "v-3.aside")
 	_ = d.Rename("v-4", "v-1.aside")
-	if err := disk.Adopt(d, "v-"); err != nil {
+	if err := disk.AdoptUnrenamed(d, "v-"); err != nil {
 		t.Fatal(err)
 	}
 	names, err := disk.Names(d, "")
--- /dev/null
+++ b/internal/paxos/log.go
@@ -0,0 +1,143 @@
+package paxos
+
+import (
+	"bytes"
+	"fmt"
+
+	"puffincrank/internal/ballot"
+	"puffincrank/internal/disk"
+	"puffincrank/internal/fault"
+	"puffincrank/internal/trace"
+)
+
+// promisePrefix begins the names of the files of promises.
+const promisePrefix = "p-"
+
+// promiseName is the file of the promise of a round.
+func promiseName(round uint64) string { return fmt.Sprintf("%s%016x", promisePrefix, round) }
+
+// entryName is the file of a log entry.
+func entryName(index uint64) string { return fmt.Sprintf("v-%016x", index) }
+
+// Promise keeps a ballot number; the file of the one before goes away. One
+// below a promise that an accepted entry made meanwhile is refused as stale.
+func (a *Acceptor) Promise(n ballot.Number) error {
+	a.writeLock.Lock()
+	defer a.writeLock.Unlock()
+	return a.promise(n)
+}
+
+func (a *Acceptor) promise(n ballot.Number) error {
+	if promised := a.Promised(); n.Less(promised) {
+		return fault.New(fault.Stale, "ballot %s is below the promise %s", n, promised)
+	}
+	if err := a.save(promiseName(n.Round), &n); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	old := a.promised
+	a.promised = n
+	me := a.identity.ID
+	a.mu.Unlock()
+	a.Observe.Tell(trace.Promised{Replica: me, Ballot: n})
+	if old.Round != n.Round {
+		_ = a.fs.Remove(promiseName(old.Round))
+	}
+	return nil
+}
+
+// Accept keeps an entry; when it returns nil it is synced.
+func (a *Acceptor) Accept(e Entry) error {
+	a.writeLock.Lock()
+	defer a.writeLock.Unlock()
+	promised := a.Promised()
+	if e.Ballot.Less(promised) {
+		return fault.New(fault.Stale, "ballot %s is below the promise %s", e.Ballot, promised)
+	}
+	// The promise gets its own file, so that damage to an entry never
+	// lowers it.
+	if promised.Less(e.Ballot) {
+		if err := a.promise(e.Ballot); err != nil {
+			return err
+		}
+	}
+	if err := a.writeEntry(e); err != nil {
+		return err
+	}
+	a.Observe.Tell(trace.Accepted{Replica: a.Identity().ID, Ballot: e.Ballot, Slot: e.Index, Sum: string(e.Digest())})
+	return nil
+}
+
+func (a *Acceptor) writeEntry(e Entry) error {
+	e.Format = Format
+	sum := e.Digest()
+	a.mu.Lock()
+	old, was := a.entries[e.Index], a.sums[e.Index]
+	a.mu.Unlock()
+	if old != nil && old.Ballot == e.Ballot && bytes.Equal(was, sum) {
+		return nil
+	}
+	// A index's first entry has a name that was never used: one sync is enough.
+	save := disk.Save
+	if old == nil {
+		save = disk.SaveNew
+	}
+	if err := a.saveBy(save, entryName(e.Index), &e); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.entries[e.Index], a.sums[e.Index] = &e, sum
+	if a.promised.Less(e.Ballot) {
+		a.promised = e.Ballot
+	}
+	return nil
+}
+
+// Learn keeps an entry that is known to be chosen.
+func (a *Acceptor) Learn(e Entry) error {
+	a.writeLock.Lock()
+	defer a.writeLock.Unlock()
+	a.mu.Lock()
+	// The ballot of an own acceptance is never lowered.
+	if old := a.entries[e.Index]; old != nil && e.Ballot.Less(old.Ballot) {
+		e.Ballot = old.Ballot
+	}
+	a.mu.Unlock()
+	return a.writeEntry(e)
+}
+
+// Top gives the highest accepted index.
+func (a *Acceptor) Top() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.top()
+}
+
+func (a *Acceptor) top() uint64 {
+	var top uint64
+	for s := range a.entries {
+		top = max(top, s)
+	}
+	return top
+}
+
+// After gives the accepted entries above an index, in order, at most most.
+func (a *Acceptor) After(index uint64, most int) []Entry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []Entry
+	for s, top := index+1, a.top(); s <= top && len(out) < most; s++ {
+		if e := a.entries[s]; e != nil {
+			out = append(out, *e)
+		}
+	}
+	return out
+}
+
+// HoldsAfter tells whether every entry above an index is still kept here.
+func (a *Acceptor) HoldsAfter(index uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return index >= a.compactedTo
+}
--- a/internal/paxos/paxos_test.go
+++ b/internal/paxos/paxos_test.go
@@ -22,21 +22,21 @@
 	return a
 }
 
-// row fills an acceptor with a checkpoint at 0 and n chained versions.
+// row fills an acceptor with a snapshot at 0 and n chained entries.
 func row(t *testing.T, d *sim.Disk, n int) *paxos.Acceptor {
 	t.Helper()
 	a := open(t, d)
-	_ = a.Name(paxos.Identity{ID: "r1", Mesh: "m"})
-	if err := a.Reset(paxos.Checkpoint{Sum: []byte("zero"), State: []byte("s")}); err != nil {
+	_ = a.SetIdentity(paxos.Identity{ID: "r1", ClusterID: "m"})
+	if err := a.InstallSnapshot(paxos.Snapshot{Digest: []byte("zero"), State: []byte("s")}); err != nil {
 		t.Fatal(err)
 	}
 	prev := []byte("zero")
 	for i := range n {
-		e := paxos.Entry{Slot: uint64(i + 1), Prev: prev, Batch: []byte(fmt.Sprint(i)), Num: ballot.Number{Round: 1, Who: "w"}}
+		e := paxos.Entry{Index: uint64(i + 1), Previous: prev, Batch: []byte(fmt.Sprint(i)), Ballot: ballot.Number{Round: 1, Candidate: "w"}}
 		if err := a.Accept(e); err != nil {
 			t.Fatal(err)
 		}
-		prev = e.Sum()
+		prev = e.Digest()
 	}
 	return a
 }
@@ -50,11 +50,11 @@
 	_, _ = f.Write([]byte("half"))
 	d.Power()
 	a := open(t, d)
-	if a.Top() != 5 || a.Me().ID != "r1" || a.Vow().Round != 1 {
-		t.Fatalf("after power loss: top %d, %v, %v", a.Top(), a.Me(), a.Vow())
+	if a.Top() != 5 || a.Identity().ID != "r1" || a.Promised().Round != 1 {
+		t.Fatalf("after power loss: top %d, %v, %v", a.Top(), a.Identity(), a.Promised())
 	}
 	// All but the newest are proved chosen by the chain alone.
-	if got := a.Sure(0, []byte("zero")); len(got) != 4 {
+	if got := a.ProvenChosen(0, []byte("zero")); len(got) != 4 {
 		t.Fatalf("%d versions are sure, want 4", len(got))
 	}
 }
@@ -79,7 +79,7 @@
 	}
 }
 
-// TestDamage: a damaged or torn version is found at start, put aside, and the
+// TestDamage: a damaged or torn entry is found at start, put aside, and the
 // replica knows that it must not vote until it is mended; a damaged promise
 // or identity makes the replica empty under a new name.
 func TestDamage(t *testing.T) {
@@ -90,10 +90,10 @@
 			t.Fatal("no such file")
 		}
 		a := open(t, d)
-		if a.Harmed() != 3 || len(a.Notes) != 1 {
-			t.Errorf("torn %v: harmed %d, notes %v", torn, a.Harmed(), a.Notes)
+		if a.DamagedUpTo() != 3 || len(a.DamagedFiles) != 1 {
+			t.Errorf("torn %v: harmed %d, notes %v", torn, a.DamagedUpTo(), a.DamagedFiles)
 		}
-		if a.Vow().Round != 1 {
+		if a.Promised().Round != 1 {
 			t.Error("the promise was lost with the version")
 		}
 		for _, name := range []string{"p-0000000000000001", "i-identity", "c-0000000000000000"} {
@@ -102,14 +102,14 @@
 			if !d.Harm(name, torn) {
 				t.Fatalf("no file %s", name)
 			}
-			if a := open(t, d); a.Me().ID != "" || a.Point() != nil || a.Top() != 0 {
+			if a := open(t, d); a.Identity().ID != "" || a.LatestSnapshot() != nil || a.Top() != 0 {
 				t.Errorf("%s damaged, torn %v: the old votes are still lent", name, torn)
 			}
 		}
 	}
 }
 
-// TestNewerFormat: files of a later version are refused, and nothing changes.
+// TestNewerFormat: files of a later entry are refused, and nothing changes.
 func TestNewerFormat(t *testing.T) {
 	d := sim.NewDisk()
 	raw := []byte{0x82, 0xa1, 'f', 9, 0xa1, 'i', 0xa1, 'x'}
@@ -124,7 +124,7 @@
 	}
 }
 
-// TestFull: a full disk acknowledges nothing, and a checkpoint still fits in
+// TestFull: a full disk acknowledges nothing, and a snapshot still fits in
 // the room that was kept free for it.
 func TestFull(t *testing.T) {
 	d := sim.NewDisk()
@@ -133,14 +133,14 @@
 		t.Fatal(err)
 	}
 	d.Room(20)
-	e := paxos.Entry{Slot: 4, Prev: []byte("p"), Batch: make([]byte, 100), Num: ballot.Number{Round: 1, Who: "w"}}
+	e := paxos.Entry{Index: 4, Previous: []byte("p"), Batch: make([]byte, 100), Ballot: ballot.Number{Round: 1, Candidate: "w"}}
 	if err := a.Accept(e); err == nil {
 		t.Fatal("accepted on a full disk")
 	}
 	if a.Top() != 3 {
 		t.Fatalf("top %d after a refused write", a.Top())
 	}
-	if err := a.Keep(a.Me().ID, paxos.Checkpoint{Slot: 3, Sum: []byte("x"), State: make([]byte, 5000)}, 0); err != nil {
+	if err := a.SaveSnapshot(a.Identity().ID, paxos.Snapshot{Index: 3, Digest: []byte("x"), State: make([]byte, 5000)}, 0); err != nil {
 		t.Fatalf("no checkpoint on a full disk: %v", err)
 	}
 	if err := a.Accept(e); err != nil {
@@ -157,35 +157,35 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_ = a.Name(paxos.Identity{ID: "r"})
-		_ = a.Reset(paxos.Checkpoint{Sum: []byte("z")})
-		var vow ballot.Number
+		_ = a.SetIdentity(paxos.Identity{ID: "r"})
+		_ = a.InstallSnapshot(paxos.Snapshot{Digest: []byte("z")})
+		var promised ballot.Number
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			n := ballot.Number{Round: rapid.Uint64Range(1, 8).Draw(t, "round"), Who: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who")}
+			n := ballot.Number{Round: rapid.Uint64Range(1, 8).Draw(t, "round"), Candidate: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who")}
 			switch rapid.IntRange(0, 2).Draw(t, "op") {
 			case 0:
 				err := a.Promise(n)
-				if (err == nil) != !n.Less(vow) {
-					t.Fatalf("promise %v under promise %v: %v", n, vow, err)
+				if (err == nil) != !n.Less(promised) {
+					t.Fatalf("promise %v under promise %v: %v", n, promised, err)
 				}
 				if err == nil {
-					vow = n
+					promised = n
 				}
 			case 1:
-				err := a.Accept(paxos.Entry{Slot: 1, Batch: []byte(n.String()), Num: n})
-				if (err == nil) != !n.Less(vow) {
-					t.Fatalf("accept %v under promise %v: %v", n, vow, err)
+				err := a.Accept(paxos.Entry{Index: 1, Batch: []byte(n.String()), Ballot: n})
+				if (err == nil) != !n.Less(promised) {
+					t.Fatalf("accept %v under promise %v: %v", n, promised, err)
 				}
 				if err == nil {
-					vow = n
+					promised = n
 				}
 			case 2:
 				d.Power()
 				if a, err = paxos.Open(d); err != nil {
 					t.Fatal(err)
 				}
-				if a.Vow() != vow {
-					t.Fatalf("after power loss the promise is %v, not %v", a.Vow(), vow)
+				if a.Promised() != promised {
+					t.Fatalf("after power loss the promise is %v, not %v", a.Promised(), promised)
 				}
 			}
 		}
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -72,7 +72,7 @@
 // before any work, so that an earlier holder's late word is refused.
 func (d *duty) stand(ctx context.Context) {
 	d.mu.Lock()
-	num := ballot.Number{Round: d.seen + 1, Who: d.r.P.Node}
+	num := ballot.Number{Round: d.seen + 1, Candidate: d.r.P.Node}
 	d.mu.Unlock()
 	from := time.Now()
 	if !d.vote(ctx, "ask", num) {
--- a/internal/store/campaign.go
+++ b/internal/store/campaign.go
@@ -14,7 +14,7 @@
 // again.
 func (s *Store) followStep(ctx context.Context) time.Duration {
 	s.mu.Lock()
-	vow, quiet := s.voter.Vow()
+	vow, quiet := s.voter.Promised()
 	// One whose disk is only slow is better than nobody, once all the others
 	// had their turn.
 	weak := time.Now().Before(s.restsUntil) && (s.lastWriteFailed || quiet < 2*s.P.Vacant())
@@ -54,10 +54,10 @@
 		return 0
 	}
 	for _, m := range s.state.Members {
-		if m.ID == s.acc.Me().ID {
+		if m.ID == s.acc.Identity().ID {
 			break
 		}
-		if m.ID != vow.Who {
+		if m.ID != vow.Candidate {
 			rank++
 		}
 	}
@@ -71,10 +71,10 @@
 	if _, _, _, ok := s.askVotes(ctx, ballot.Number{}, false); !ok || !s.role.Fire("stand") {
 		return
 	}
-	s.noteSilentLeader(s.voter.Vow())
+	s.noteSilentLeader(s.voter.Promised())
 	s.mu.Lock()
-	vow := s.acc.Vow()
-	s.num = ballot.Number{Round: max(s.highestRound, vow.Round) + 1, Who: s.acc.Me().ID}
+	vow := s.acc.Promised()
+	s.num = ballot.Number{Round: max(s.highestRound, vow.Round) + 1, Candidate: s.acc.Identity().ID}
 	s.highestRound = s.num.Round
 	num := s.num
 	s.mu.Unlock()
--- a/internal/store/campaign_test.go
+++ b/internal/store/campaign_test.go
@@ -59,11 +59,11 @@
 			}
 			defer s.Kill()
 			// A member among five; another wrote and was heard just now.
-			holder := ballot.Number{Round: 7, Who: "w"}
+			holder := ballot.Number{Round: 7, Candidate: "w"}
 			s.state = ledger.New("m", nil)
 			for i, id := range []string{"a", "b", "c", "d"} {
 				if i == rank {
-					id = s.acc.Me().ID
+					id = s.acc.Identity().ID
 				}
 				s.state.Members = append(s.state.Members, ledger.Member{ID: id, Addr: map[bool]string{true: "me:1", false: id + ":1"}[i == rank]})
 			}
--- a/internal/store/confirm.go
+++ b/internal/store/confirm.go
@@ -103,7 +103,7 @@
 func (t *leadership) heartbeat(ctx context.Context) error {
 	s := t.s
 	from, round := time.Now(), t.rounds.Add(1)
-	s.e.Trace.Tell(trace.RoundBegan{Replica: s.acc.Me().ID, Round: round})
+	s.e.Trace.Tell(trace.RoundBegan{Replica: s.acc.Identity().ID, Round: round})
 	ask := t.beatOfNow()
 	who, need := s.memberAddresses()
 	yes, higher := 0, 0
@@ -112,12 +112,12 @@
 		ctx, end := context.WithTimeout(s.g.Context(), s.P.Lease()/2)
 		defer end()
 		if to == s.P.Inner {
-			vow, _ := s.voter.Vow()
+			vow, _ := s.voter.Promised()
 			ok := vow == t.num
 			if ok {
-				_, _, _ = s.voter.Beat(t.num)
+				_, _, _ = s.voter.Heartbeat(t.num)
 			}
-			return ack{Yes: ok, ID: s.acc.Me().ID, Seen: vow}, nil
+			return ack{Yes: ok, ID: s.acc.Identity().ID, Seen: vow}, nil
 		}
 		a, err := wire.Ask[ack](ctx, s.n, to, "store.beat", ask)
 		if err == nil && a.Yes {
@@ -145,7 +145,7 @@
 		t.confirmedAt = from
 		t.mu.Unlock()
 		s.mu.Lock()
-		s.e.Trace.Tell(trace.RoundConfirmed{Replica: s.acc.Me().ID, Round: round, Slot: s.slot})
+		s.e.Trace.Tell(trace.RoundConfirmed{Replica: s.acc.Identity().ID, Round: round, Slot: s.slot})
 		s.mu.Unlock()
 		return nil
 	}
--- a/internal/store/contact.go
+++ b/internal/store/contact.go
@@ -75,8 +75,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if vow.Who != s.acc.Me().ID && quiet < s.P.CatchUp {
-		s.formerTerm = formerTerm{now, map[string]peerContact{vow.Who: {at: now.Add(-quiet)}}}
+	if vow.Candidate != s.acc.Identity().ID && quiet < s.P.CatchUp {
+		s.formerTerm = formerTerm{now, map[string]peerContact{vow.Candidate: {at: now.Add(-quiet)}}}
 	}
 }
 
--- a/internal/store/diskhealth.go
+++ b/internal/store/diskhealth.go
@@ -65,7 +65,7 @@
 	s.diskIll, s.lastWriteFailed = true, true
 	s.restsUntil = now.Add(s.P.Return / 3)
 	// Once in a while: what is full again right away is not helped by another.
-	ease := disk.Full(err) && now.Sub(s.easedAt) > s.P.Return/3
+	ease := disk.IsFull(err) && now.Sub(s.easedAt) > s.P.Return/3
 	if ease {
 		s.easedAt = now
 	}
@@ -102,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range all {
-		if w := t.contacts[m.ID]; m.ID != t.s.acc.Me().ID && !w.ill && time.Since(w.at) < t.s.P.Lease() {
+		if w := t.contacts[m.ID]; m.ID != t.s.acc.Identity().ID && !w.ill && time.Since(w.at) < t.s.P.Lease() {
 			return true
 		}
 	}
@@ -125,11 +125,11 @@
 // checkpointDue tells how many entries a checkpoint of now would leave in the log,
 // 0 when none is due; mu is held.
 func (s *Store) checkpointDue() uint64 {
-	last := s.acc.Point()
+	last := s.acc.LatestSnapshot()
 	if last == nil {
 		return keptEntries
 	}
-	since := s.slot - last.Slot
+	since := s.slot - last.Index
 	if s.logBytes >= s.P.StateBytes()/logPart && s.slot%spanOfLarge == 0 && since > 0 {
 		// The entries are large: few of them must not fill the disk.
 		return spanOfLarge
@@ -150,15 +150,15 @@
 		return
 	}
 	s.mu.Lock()
-	last := s.acc.Point()
-	if s.state == nil || last != nil && last.Slot >= s.slot {
+	last := s.acc.LatestSnapshot()
+	if s.state == nil || last != nil && last.Index >= s.slot {
 		s.mu.Unlock()
 		s.checkpointing.Unlock()
 		return
 	}
 	keep = max(keep, s.keptForTransfer(s.slot))
 	c, err := s.packState()
-	who := s.acc.Me().ID
+	who := s.acc.Identity().ID
 	s.mu.Unlock()
 	ok := err == nil && s.g.Go("checkpoint", func(context.Context) {
 		defer s.checkpointing.Unlock()
@@ -170,13 +170,13 @@
 }
 
 // writeCheckpoint keeps a checkpoint on the disk; points is held.
-func (s *Store) writeCheckpoint(who string, c paxos.Checkpoint, keep uint64) {
-	if s.writeDurably(func() error { return s.acc.Keep(who, c, keep) }) != nil {
+func (s *Store) writeCheckpoint(who string, c paxos.Snapshot, keep uint64) {
+	if s.writeDurably(func() error { return s.acc.SaveSnapshot(who, c, keep) }) != nil {
 		s.mu.Lock()
 		s.checkpointAfter = time.Now().Add(s.P.Lease())
 		s.mu.Unlock()
 		return
 	}
-	s.e.Log.Emit(event.Checkpointed, "slot", c.Slot, "bytes", len(c.State))
+	s.e.Log.Emit(event.Checkpointed, "slot", c.Index, "bytes", len(c.State))
 	_ = s.acc.Reserve(len(c.State)*2 + 64<<10)
 }
--- a/internal/store/download.go
+++ b/internal/store/download.go
@@ -42,7 +42,7 @@
 	if sum := sha256.Sum256(whole); !bytes.Equal(sum[:], head.ID) {
 		return s.badSnapshot(from, "it fails its checksum")
 	}
-	return s.install(paxos.Checkpoint{Format: head.Format, Slot: head.Slot, Sum: head.Sum, State: whole}, event.Refilled)
+	return s.install(paxos.Snapshot{Format: head.Format, Index: head.Slot, Digest: head.Sum, State: whole}, event.Refilled)
 }
 
 // largestSnapshot bounds what is taken from another replica: its own bound may be
--- a/internal/store/duty.go
+++ b/internal/store/duty.go
@@ -41,7 +41,7 @@
 		return DutyVote{}, fault.New(fault.Refused, "no such duty")
 	}
 	s.mu.Lock()
-	able := s.state != nil && s.isMember(s.acc.Me().ID)
+	able := s.state != nil && s.isMember(s.acc.Identity().ID)
 	stuck := s.diskHangs() && in.Op == "ask"
 	s.mu.Unlock()
 	if !able {
@@ -53,12 +53,12 @@
 	v := s.dutyVoter(in.Duty)
 	switch in.Op {
 	case "beat":
-		yes, seen, err := v.Beat(in.Num)
+		yes, seen, err := v.Heartbeat(in.Num)
 		return DutyVote{yes, seen}, err
 	case "vacate":
 		v.Vacate(in.Num)
 		return DutyVote{Yes: true}, nil
 	}
-	yes, seen, err := v.Ask(in.Num)
+	yes, seen, err := v.Vote(in.Num)
 	return DutyVote{yes, seen}, err
 }
--- a/internal/store/fetch.go
+++ b/internal/store/fetch.go
@@ -71,7 +71,7 @@
 // stops the replica's state where it is, which readiness then shows.
 func (s *Store) applyChosen(e *paxos.Entry) bool {
 	if _, err := s.apply(e); err != nil {
-		s.e.Log.Emit(event.Foreign, "slot", e.Slot, "why", err.Error())
+		s.e.Log.Emit(event.Foreign, "slot", e.Index, "why", err.Error())
 		return false
 	}
 	s.checkpoint()
@@ -104,14 +104,14 @@
 		}
 		for i := range got.Entries {
 			e := &got.Entries[i]
-			if e.Slot != s.slot+1 || !bytes.Equal(e.Prev, s.sum) {
-				return fault.New(fault.Stale, "fellow's version %d does not follow ours", e.Slot)
+			if e.Index != s.slot+1 || !bytes.Equal(e.Previous, s.sum) {
+				return fault.New(fault.Stale, "fellow's version %d does not follow ours", e.Index)
 			}
 			if err := s.writeDurably(func() error { return s.acc.Learn(*e) }); err != nil {
 				return err
 			}
 			if !s.applyChosen(e) {
-				return fault.New(fault.Input, "version %d can't be applied", e.Slot)
+				return fault.New(fault.Input, "version %d can't be applied", e.Index)
 			}
 		}
 		if n := len(got.Entries); n > 0 {
@@ -167,18 +167,18 @@
 // entriesAfter gives the applied entries that follow what the asker has, none if
 // they are not all kept, or the asker's newest is not ours. mu is held.
 func (s *Store) entriesAfter(in fetchAsk) (out []paxos.Entry) {
-	if in.Prev == nil || !s.acc.Whole(in.After) {
+	if in.Prev == nil || !s.acc.HoldsAfter(in.After) {
 		return nil
 	}
 	size := 0
 	for _, e := range s.acc.After(in.After, min(fetchEntries, int(s.slot-in.After))) {
 		size += len(e.Batch)
-		if e.Slot > s.slot || len(out) > 0 && size > s.P.Frame/fetchFrameRate {
+		if e.Index > s.slot || len(out) > 0 && size > s.P.Frame/fetchFrameRate {
 			break
 		}
 		out = append(out, e)
 	}
-	if len(out) == 0 || out[0].Slot != in.After+1 || !bytes.Equal(out[0].Prev, in.Prev) || !rowed(out) {
+	if len(out) == 0 || out[0].Index != in.After+1 || !bytes.Equal(out[0].Previous, in.Prev) || !rowed(out) {
 		return nil
 	}
 	return out
@@ -187,7 +187,7 @@
 // rowed tells whether each entry follows the one before.
 func rowed(row []paxos.Entry) bool {
 	for i := 1; i < len(row); i++ {
-		if row[i].Slot != row[i-1].Slot+1 || !bytes.Equal(row[i].Prev, row[i-1].Sum()) {
+		if row[i].Index != row[i-1].Index+1 || !bytes.Equal(row[i].Previous, row[i-1].Digest()) {
 			return false
 		}
 	}
@@ -195,6 +195,6 @@
 }
 
 // checkpointOf is the checkpoint of what is applied; mu is held.
-func (s *Store) checkpointOf(raw []byte) paxos.Checkpoint {
-	return paxos.Checkpoint{Slot: s.slot, Sum: s.sum, State: raw}
+func (s *Store) checkpointOf(raw []byte) paxos.Snapshot {
+	return paxos.Snapshot{Index: s.slot, Digest: s.sum, State: raw}
 }
--- a/internal/store/founding.go
+++ b/internal/store/founding.go
@@ -21,7 +21,7 @@
 	s.noteSuccessor(in.ID, in.Addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	got := foundGot{Empty: s.state == nil, ID: s.acc.Me().ID, Head: s.leaderAddress, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
+	got := foundGot{Empty: s.state == nil, ID: s.acc.Identity().ID, Head: s.leaderAddress, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
 	if s.state != nil {
 		got.Mesh, got.Members, got.Slot = s.state.Mesh, s.state.Members, s.slot
 	}
@@ -33,7 +33,7 @@
 	if !s.empty() {
 		return ack{}, fault.New(fault.Refused, "not empty")
 	}
-	own := s.acc.Me().ID
+	own := s.acc.Identity().ID
 	if err := checkFounders(in.Members, own); err != nil {
 		s.e.Log.Emit(event.Foreign, "mesh", in.Mesh, "why", err.Error())
 		return ack{}, err
@@ -103,30 +103,30 @@
 		return err
 	}
 	sum := sha256.Sum256(raw)
-	return s.install(paxos.Checkpoint{Sum: sum[:], State: raw}, event.Founded)
+	return s.install(paxos.Snapshot{Digest: sum[:], State: raw}, event.Founded)
 }
 
 // install takes a checkpoint as all that this replica holds, unless it is of a
 // newer format, of a newer program's state or of another cluster; learn is held.
-func (s *Store) install(c paxos.Checkpoint, say event.Kind) error {
+func (s *Store) install(c paxos.Snapshot, say event.Kind) error {
 	if c.Format > paxos.Format {
 		s.e.Log.Emit(event.Foreign, "format", c.Format, "own", paxos.Format)
 		return fault.New(fault.Input, "a snapshot of format %d, newer than %d", c.Format, paxos.Format)
 	}
 	led, err := ledger.Load(c.State)
 	if err != nil {
-		s.e.Log.Emit(event.Foreign, "slot", c.Slot, "why", err.Error())
+		s.e.Log.Emit(event.Foreign, "slot", c.Index, "why", err.Error())
 		return err
 	}
-	if mine := s.acc.Me().Mesh; mine != "" && mine != led.Mesh {
+	if mine := s.acc.Identity().ClusterID; mine != "" && mine != led.Mesh {
 		s.e.Log.Emit(event.Foreign, "mesh", led.Mesh, "own", mine)
 		return fault.New(fault.Refused, "data of mesh %s", led.Mesh)
 	}
 	err = s.writeDurably(func() error {
-		if err := s.acc.Reset(c); err != nil {
+		if err := s.acc.InstallSnapshot(c); err != nil {
 			return err
 		}
-		return s.acc.Name(paxos.Identity{ID: s.acc.Me().ID, Mesh: led.Mesh})
+		return s.acc.SetIdentity(paxos.Identity{ID: s.acc.Identity().ID, ClusterID: led.Mesh})
 	})
 	if err != nil {
 		return err
@@ -135,9 +135,9 @@
 		return err
 	}
 	s.mu.Lock()
-	s.e.Trace.Tell(trace.Installed{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
+	s.e.Trace.Tell(trace.Installed{Replica: s.acc.Identity().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
 	s.mu.Unlock()
-	s.e.Log.Emit(say, "mesh", led.Mesh, "slot", c.Slot)
+	s.e.Log.Emit(say, "mesh", led.Mesh, "slot", c.Index)
 	// A joiner stays out of the voting until it is a member.
 	s.updateRole()
 	return nil
@@ -164,7 +164,7 @@
 		in.Want = 0
 	}
 	in.Members = founders(in.Members, s.P.Inner)
-	if err := checkFounders(in.Members, s.acc.Me().ID); err != nil {
+	if err := checkFounders(in.Members, s.acc.Identity().ID); err != nil {
 		s.e.Log.Emit(event.Foreign, "mesh", in.Mesh, "why", err.Error())
 		return
 	}
--- a/internal/store/founding_test.go
+++ b/internal/store/founding_test.go
@@ -16,7 +16,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := bare(t)
 		defer s.Kill()
-		me := ledger.Member{ID: s.acc.Me().ID, Addr: "me:1"}
+		me := ledger.Member{ID: s.acc.Identity().ID, Addr: "me:1"}
 		b, c, d := ledger.Member{ID: "b", Addr: "b:1"}, ledger.Member{ID: "c", Addr: "c:1"}, ledger.Member{ID: "d", Addr: "d:1"}
 		for _, bad := range []struct {
 			name    string
--- a/internal/store/holders.go
+++ b/internal/store/holders.go
@@ -25,7 +25,7 @@
 		if sp := t.learners[m.ID]; sp != nil {
 			has = max(has, sp.slot)
 		}
-		if m.ID == t.s.acc.Me().ID {
+		if m.ID == t.s.acc.Identity().ID {
 			has = slot
 		}
 		if has >= slot {
@@ -88,7 +88,7 @@
 		all, _, _ := t.s.members()
 		others := without(all, leaving)
 		held := t.awaitHolders(ctx, others, min(len(all)/2+1, len(others)))
-		if held && leaving == t.s.acc.Me().ID {
+		if held && leaving == t.s.acc.Identity().ID {
 			t.shut.Store(true)
 		}
 		return held
--- a/internal/store/holders_test.go
+++ b/internal/store/holders_test.go
@@ -15,9 +15,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := alone(t)
 		defer s.Kill()
-		me := s.acc.Me().ID
+		me := s.acc.Identity().ID
 		s.state.Members = []ledger.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
-		term := s.newLeadership(ballot.Number{Round: 1, Who: me})
+		term := s.newLeadership(ballot.Number{Round: 1, Candidate: me})
 		defer term.stop()
 		count := func() int {
 			term.mu.Lock()
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -93,9 +93,9 @@
 	s.mu.Unlock()
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
 		if to == s.P.Inner {
-			return foundGot{Empty: true, ID: s.acc.Me().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}, nil
+			return foundGot{Empty: true, ID: s.acc.Identity().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}, nil
 		}
-		return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Me().ID, s.P.Inner})
+		return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Identity().ID, s.P.Inner})
 	}, func(to string, got foundGot, err error) bool {
 		switch {
 		case err != nil:
@@ -146,7 +146,7 @@
 func (s *Store) reportToLeader(ctx context.Context, to string) bool {
 	for range 3 {
 		s.mu.Lock()
-		ask := joinAsk{ID: s.acc.Me().ID, Addr: s.P.Inner, Mesh: s.state.Mesh, Slot: s.slot, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
+		ask := joinAsk{ID: s.acc.Identity().ID, Addr: s.P.Inner, Mesh: s.state.Mesh, Slot: s.slot, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
 		s.mu.Unlock()
 		got, err := wire.Ask[joinGot](ctx, s.n, to, "store.join", ask)
 		if err == nil && got.Slot == 0 && got.Has > ask.Slot && s.refill(ctx, to) == nil && s.votes() {
@@ -185,7 +185,7 @@
 	s.mu.Lock()
 	chosen, clusterID := s.slot, s.state.Mesh
 	s.mu.Unlock()
-	former, now := s.acc.Me().ID, paxos.Identity{ID: fresh(), Mesh: clusterID}
+	former, now := s.acc.Identity().ID, paxos.Identity{ID: fresh(), ClusterID: clusterID}
 	if err := s.writeDurably(func() error { return s.acc.Rename(now, chosen) }); err != nil {
 		return err
 	}
--- a/internal/store/join_test.go
+++ b/internal/store/join_test.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return paxos.Entry{Slot: 1, Prev: []byte("zero"), Batch: raw, Num: ballot.Number{Round: 1, Who: "b"}}
+	return paxos.Entry{Index: 1, Previous: []byte("zero"), Batch: raw, Ballot: ballot.Number{Round: 1, Candidate: "b"}}
 }
 
 // TestPlaceLearned: a store that stands by and is told by one that no longer leads
@@ -129,10 +129,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := s.install(paxos.Checkpoint{Sum: []byte("zero"), State: raw}, event.Refilled); err != nil || s.votes() {
+		if err := s.install(paxos.Snapshot{Digest: []byte("zero"), State: raw}, event.Refilled); err != nil || s.votes() {
 			t.Fatalf("%v, role %s", err, s.role.Now())
 		}
-		entry := firstEntry(t, "a", s.acc.Me().ID)
+		entry := firstEntry(t, "a", s.acc.Identity().ID)
 		peer(t, road, "b:1", func(n *wire.Node) {
 			wire.On(n, "store.join", func(context.Context, wire.Hello, joinAsk) (joinGot, error) { return joinGot{Has: 1}, nil })
 			wire.On(n, "store.fetch", func(context.Context, wire.Hello, fetchAsk) (fetchGot, error) {
@@ -153,7 +153,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s, road := alone(t)
 			defer s.Kill()
-			me := s.acc.Me().ID
+			me := s.acc.Identity().ID
 			s.state.Members = []ledger.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
 			s.updateRole()
 			entry := firstEntry(t, me, "d")
@@ -174,7 +174,7 @@
 			if s.slot != 1 {
 				t.Errorf("it has applied %d", s.slot)
 			}
-			if now := s.acc.Me().ID; (now != me) != removed || s.votes() == removed {
+			if now := s.acc.Identity().ID; (now != me) != removed || s.votes() == removed {
 				t.Errorf("removed %v: identity %s, was %s, role %s", removed, now, me, s.role.Now())
 			}
 		})
@@ -201,7 +201,7 @@
 				return ack{}, nil
 			})
 		})
-		term := s.newLeadership(ballot.Number{Round: 1, Who: s.acc.Me().ID})
+		term := s.newLeadership(ballot.Number{Round: 1, Candidate: s.acc.Identity().ID})
 		defer term.stop()
 		term.noteLearner(joinAsk{ID: "l", Addr: "heard:1"})
 		term.greetSeeds(t.Context())
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -77,12 +77,12 @@
 // held. An error means that it may or may not be chosen.
 func (t *leadership) decide(ctx context.Context, raw []byte) ([]ledger.Receipt, error) {
 	s := t.s
-	e := paxos.Entry{Slot: s.slot + 1, Prev: s.sum, Batch: raw, Num: t.num}
+	e := paxos.Entry{Index: s.slot + 1, Previous: s.sum, Batch: raw, Ballot: t.num}
 	ask := acceptAsk{Entry: e, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.Mesh}
 	who, need := s.memberAddresses()
 	got := map[string]bool{}
 	var acceptors []string
-	s.e.Trace.Tell(trace.Proposed{Replica: s.acc.Me().ID, Ballot: t.num, Slot: e.Slot, Sum: string(e.Sum())})
+	s.e.Trace.Tell(trace.Proposed{Replica: s.acc.Identity().ID, Ballot: t.num, Slot: e.Index, Sum: string(e.Digest())})
 	from := time.Now()
 	for {
 		var left []string
@@ -115,7 +115,7 @@
 		})
 		end()
 		if len(got) >= need {
-			s.e.Trace.Tell(trace.Chosen{Replica: s.acc.Me().ID, Ballot: t.num, Slot: e.Slot, Sum: string(e.Sum()), Acceptors: acceptors})
+			s.e.Trace.Tell(trace.Chosen{Replica: s.acc.Identity().ID, Ballot: t.num, Slot: e.Index, Sum: string(e.Digest()), Acceptors: acceptors})
 			return s.apply(&e)
 		}
 		if higher >= need {
--- a/internal/store/leave.go
+++ b/internal/store/leave.go
@@ -35,7 +35,7 @@
 		s.e.Pause(ctx, s.P.Beat()/4)
 	}
 	if ctx.Err() == nil {
-		s.e.Trace.Tell(trace.Left{Replica: s.acc.Me().ID})
+		s.e.Trace.Tell(trace.Left{Replica: s.acc.Identity().ID})
 	}
 	s.e.Log.Emit(event.Left, "place_given", given, "after_ms", time.Since(from).Milliseconds(), "in_time", ctx.Err() == nil)
 }
@@ -44,14 +44,14 @@
 func (s *Store) isVoter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isMember(s.acc.Me().ID)
+	return s.isMember(s.acc.Identity().ID)
 }
 
 // handOver gives this member's place to a learner, by the change in a slot; false
 // means that it is kept.
 func (s *Store) handOver(ctx context.Context) (slot uint64, given bool) {
 	s.mu.Lock()
-	t, head, me, num := s.leadership, s.leaderAddress, s.acc.Me().ID, s.num
+	t, head, me, num := s.leadership, s.leaderAddress, s.acc.Identity().ID, s.num
 	member := s.isMember(me)
 	s.mu.Unlock()
 	switch {
@@ -75,11 +75,11 @@
 	ctx, end := context.WithTimeout(ctx, s.P.Patience())
 	defer end()
 	who, _ := s.memberAddresses()
-	has := map[string]uint64{s.acc.Me().ID: slot}
+	has := map[string]uint64{s.acc.Identity().ID: slot}
 	var after []ledger.Member
 	for range 2 {
 		ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
-			return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Me().ID, s.P.Inner})
+			return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Identity().ID, s.P.Inner})
 		}, func(_ string, got foundGot, err error) bool {
 			if err == nil && got.Slot >= slot {
 				has[got.ID], after = got.Slot, got.Members
@@ -119,7 +119,7 @@
 
 func (s *Store) askOthersHold(ctx context.Context) bool {
 	s.mu.Lock()
-	t, head, me := s.leadership, s.leaderAddress, s.acc.Me().ID
+	t, head, me := s.leadership, s.leaderAddress, s.acc.Identity().ID
 	s.mu.Unlock()
 	if t != nil {
 		return t.othersHold(ctx, me)
--- a/internal/store/membership.go
+++ b/internal/store/membership.go
@@ -82,7 +82,7 @@
 // countInTouch counts the members that were heard lately, without one; mu is held.
 func (t *leadership) countInTouch(all []ledger.Member, without string) (n int) {
 	for _, m := range all {
-		if m.ID != without && (m.ID == t.s.acc.Me().ID || time.Since(t.contacts[m.ID].at) < t.s.P.Lease()) {
+		if m.ID != without && (m.ID == t.s.acc.Identity().ID || time.Since(t.contacts[m.ID].at) < t.s.P.Lease()) {
 			n++
 		}
 	}
@@ -102,7 +102,7 @@
 	}
 	for _, m := range all {
 		// The same address with another identity: the old disk is gone.
-		if m.Addr == in.Addr && m.ID != t.s.acc.Me().ID {
+		if m.Addr == in.Addr && m.ID != t.s.acc.Identity().ID {
 			old = m.ID
 		}
 	}
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -63,10 +63,10 @@
 }
 
 type fetchGot struct {
-	Entries []paxos.Entry     `msgpack:"e"`
-	Point   *paxos.Checkpoint `msgpack:"c"` // a snapshot that fits a message
-	Head    *snapshotHead     `msgpack:"h,omitempty"`
-	Top     uint64            `msgpack:"t"`
+	Entries []paxos.Entry   `msgpack:"e"`
+	Point   *paxos.Snapshot `msgpack:"c"` // a snapshot that fits a message
+	Head    *snapshotHead   `msgpack:"h,omitempty"`
+	Top     uint64          `msgpack:"t"`
 }
 
 type foundAsk struct {
--- a/internal/store/ready.go
+++ b/internal/store/ready.go
@@ -14,10 +14,10 @@
 
 // status tells how this store stands.
 func (s *Store) status() Status {
-	_, quiet := s.voter.Vow()
+	_, quiet := s.voter.Promised()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Status{Node: s.P.Node, Addr: s.P.Inner, Area: s.P.Area, Role: s.role.Now(), Slot: s.slot, Head: s.leaderAddress, Ballot: s.acc.Vow().String(), Ill: s.diskIll || s.diskHangs()}
+	out := Status{Node: s.P.Node, Addr: s.P.Inner, Area: s.P.Area, Role: s.role.Now(), Slot: s.slot, Head: s.leaderAddress, Ballot: s.acc.Promised().String(), Ill: s.diskIll || s.diskHangs()}
 	if s.state != nil {
 		out.Members, out.Config = s.state.Members, s.state.Config().Version
 	}
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -9,14 +9,14 @@
 
 // open takes up what the folder holds, or names a new empty replica.
 func (s *Store) open() error {
-	if s.acc.Me().ID == "" {
-		if err := s.acc.Name(paxos.Identity{ID: fresh()}); err != nil {
+	if s.acc.Identity().ID == "" {
+		if err := s.acc.SetIdentity(paxos.Identity{ID: fresh()}); err != nil {
 			return err
 		}
 	}
-	s.voter = ballot.NewVoter(s.acc.Vow(), s.P.Vacant(), s.promise)
-	s.highestRound = s.acc.Vow().Round
-	point, err := s.acc.Snapshot()
+	s.voter = ballot.NewVoter(s.acc.Promised(), s.P.Vacant(), s.promise)
+	s.highestRound = s.acc.Promised().Round
+	point, err := s.acc.ReadSnapshot()
 	if err != nil || point == nil {
 		return err
 	}
@@ -24,28 +24,28 @@
 		return err
 	}
 	s.mu.Lock()
-	s.e.Trace.Tell(trace.Opened{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
+	s.e.Trace.Tell(trace.Opened{Replica: s.acc.Identity().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
 	s.mu.Unlock()
 	// What the files alone prove to be chosen is applied at once.
-	for _, e := range s.acc.Sure(s.slot, s.sum) {
+	for _, e := range s.acc.ProvenChosen(s.slot, s.sum) {
 		if _, err := s.apply(&e); err != nil {
 			return err
 		}
 	}
 	s.updateRole()
 	// Whoever wrote last knows that nobody does since it ended.
-	s.campaignNow = s.role.Is("follow") && s.acc.Vow().Who == s.acc.Me().ID
+	s.campaignNow = s.role.Is("follow") && s.acc.Promised().Candidate == s.acc.Identity().ID
 	return nil
 }
 
 // reset takes a checkpoint as the applied state.
-func (s *Store) reset(c paxos.Checkpoint) error {
+func (s *Store) reset(c paxos.Snapshot) error {
 	led, err := ledger.Load(c.State)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.state, s.slot, s.sum = led, c.Slot, c.Sum
+	s.state, s.slot, s.sum = led, c.Index, c.Digest
 	s.measured(len(c.State))
 	s.restartLeases()
 	s.announceApplied()
--- a/internal/store/remove.go
+++ b/internal/store/remove.go
@@ -15,7 +15,7 @@
 // than the bound; mu is held.
 func (t *leadership) silentMember(members []ledger.Member, bound time.Duration) (id string) {
 	for _, m := range members {
-		if at := t.contacts[m.ID].at; m.ID != t.s.acc.Me().ID && time.Since(at) > bound && (id == "" || at.Before(t.contacts[id].at)) {
+		if at := t.contacts[m.ID].at; m.ID != t.s.acc.Identity().ID && time.Since(at) > bound && (id == "" || at.Before(t.contacts[id].at)) {
 			id = m.ID
 		}
 	}
@@ -36,7 +36,7 @@
 	for _, m := range g.Members {
 		if m.ID == in.ID {
 			found = true
-		} else if m.ID == s.acc.Me().ID || time.Since(t.contacts[m.ID].at) < s.P.Lease() {
+		} else if m.ID == s.acc.Identity().ID || time.Since(t.contacts[m.ID].at) < s.P.Lease() {
 			stay++
 		}
 	}
@@ -62,12 +62,12 @@
 // the leadership at the holder's own means that the holder's disk is lost, and its
 // process with it: the leadership is vacant, and need not be missed for a time first.
 func (s *Store) noteSuccessor(id, addr string) {
-	vow, quiet := s.voter.Vow()
-	if id == vow.Who || quiet >= s.P.Vacant() || !s.votes() {
+	vow, quiet := s.voter.Promised()
+	if id == vow.Candidate || quiet >= s.P.Vacant() || !s.votes() {
 		return
 	}
 	s.mu.Lock()
-	lost := slices.ContainsFunc(s.state.Members, func(m ledger.Member) bool { return m.ID == vow.Who && m.Addr == addr })
+	lost := slices.ContainsFunc(s.state.Members, func(m ledger.Member) bool { return m.ID == vow.Candidate && m.Addr == addr })
 	s.mu.Unlock()
 	if !lost {
 		return
--- a/internal/store/shorten.go
+++ b/internal/store/shorten.go
@@ -10,7 +10,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range all {
-		if m.ID != t.s.acc.Me().ID && t.contacts[m.ID].knows < level {
+		if m.ID != t.s.acc.Identity().ID && t.contacts[m.ID].knows < level {
 			return false
 		}
 	}
--- a/internal/store/shorten_test.go
+++ b/internal/store/shorten_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := acc.Name(paxos.Identity{ID: "a"}); err != nil {
+	if err := acc.SetIdentity(paxos.Identity{ID: "a"}); err != nil {
 		t.Fatal(err)
 	}
 	doc := func(n int) []byte { return append(bytes.Repeat([]byte(`{"a":1}`), 60), fmt.Sprint(n)...) }
@@ -43,7 +43,7 @@
 		return batch[0].cmd.Kind + " " + batch[1].cmd.Kind
 	}
 	const long, short = "config.number config.number", "config.step config.number"
-	w := &leadership{s: s, num: ballot.Number{Round: 1, Who: "a"}, contacts: map[string]peerContact{}, learners: map[string]*learner{}}
+	w := &leadership{s: s, num: ballot.Number{Round: 1, Candidate: "a"}, contacts: map[string]peerContact{}, learners: map[string]*learner{}}
 	for i, c := range []struct {
 		b, c  int
 		spare int // -1 for none
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -67,7 +67,7 @@
 	s.mu.Lock()
 	now := s.image
 	s.mu.Unlock()
-	if now.inUse(s.snapshotIdle()) && now.head.Slot > after && s.acc.Whole(now.head.Slot) {
+	if now.inUse(s.snapshotIdle()) && now.head.Slot > after && s.acc.HoldsAfter(now.head.Slot) {
 		s.touchImage(now)
 		return &now.head, nil
 	}
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	sum := sha256.Sum256(point.State)
-	made := &image{head: snapshotHead{ID: sum[:], Slot: point.Slot, Sum: point.Sum, Size: len(point.State), Format: paxos.Format}, data: point.State, asked: time.Now()}
+	made := &image{head: snapshotHead{ID: sum[:], Slot: point.Index, Sum: point.Digest, Size: len(point.State), Format: paxos.Format}, data: point.State, asked: time.Now()}
 	s.mu.Lock()
 	s.image = made
 	s.mu.Unlock()
@@ -85,9 +85,9 @@
 
 // stableSnapshot reads the newest checkpoint from the disk or, when that does not
 // reach beyond a slot, packs the state of now.
-func (s *Store) stableSnapshot(after uint64) (*paxos.Checkpoint, error) {
-	if point := s.acc.Point(); point != nil && point.Slot > after {
-		if whole, err := s.acc.Snapshot(); err == nil && whole != nil && whole.Slot > after {
+func (s *Store) stableSnapshot(after uint64) (*paxos.Snapshot, error) {
+	if point := s.acc.LatestSnapshot(); point != nil && point.Index > after {
+		if whole, err := s.acc.ReadSnapshot(); err == nil && whole != nil && whole.Index > after {
 			return whole, nil
 		}
 	}
@@ -97,7 +97,7 @@
 }
 
 // packState packs the state of now; mu is held.
-func (s *Store) packState() (*paxos.Checkpoint, error) {
+func (s *Store) packState() (*paxos.Snapshot, error) {
 	raw, err := s.state.Pack()
 	if err != nil {
 		return nil, err
--- a/internal/store/snapshot_test.go
+++ b/internal/store/snapshot_test.go
@@ -43,12 +43,12 @@
 func alone(t *testing.T) (*Store, *wire.Paved) {
 	t.Helper()
 	s, road := bare(t)
-	led := ledger.New("m", []ledger.Member{{ID: s.acc.Me().ID, Addr: "me:1"}})
+	led := ledger.New("m", []ledger.Member{{ID: s.acc.Identity().ID, Addr: "me:1"}})
 	raw, err := led.Pack()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.install(paxos.Checkpoint{Sum: []byte("zero"), State: raw}, event.Founded); err != nil {
+	if err := s.install(paxos.Snapshot{Digest: []byte("zero"), State: raw}, event.Founded); err != nil {
 		t.Fatal(err)
 	}
 	return s, road
@@ -76,20 +76,20 @@
 		same := packedState(t, s, func(*ledger.State) {})
 		for _, c := range []struct {
 			name  string
-			point paxos.Checkpoint
+			point paxos.Snapshot
 			fault string
 		}{
-			{"newer format", paxos.Checkpoint{Format: paxos.Format + 1, Slot: 9, State: same}, "a snapshot of format 2, newer than 1"},
-			{"newer level", paxos.Checkpoint{Slot: 9, State: packedState(t, s, func(l *ledger.State) { l.Level = ledger.Level + 1 })}, "the state needs a program of level 3, this one is of 2"},
-			{"another cluster", paxos.Checkpoint{Slot: 9, State: packedState(t, s, func(l *ledger.State) { l.Mesh = "other" })}, "data of mesh other"},
-			{"torn", paxos.Checkpoint{Slot: 9, State: same[:len(same)/2]}, "read checkpoint"},
+			{"newer format", paxos.Snapshot{Format: paxos.Format + 1, Index: 9, State: same}, "a snapshot of format 2, newer than 1"},
+			{"newer level", paxos.Snapshot{Index: 9, State: packedState(t, s, func(l *ledger.State) { l.Level = ledger.Level + 1 })}, "the state needs a program of level 3, this one is of 2"},
+			{"another cluster", paxos.Snapshot{Index: 9, State: packedState(t, s, func(l *ledger.State) { l.Mesh = "other" })}, "data of mesh other"},
+			{"torn", paxos.Snapshot{Index: 9, State: same[:len(same)/2]}, "read checkpoint"},
 		} {
 			err := s.install(c.point, event.Refilled)
-			if err == nil || !strings.Contains(err.Error(), c.fault) || s.state.Rev == 77 || s.slot != 0 || s.acc.Point().Slot != 0 {
+			if err == nil || !strings.Contains(err.Error(), c.fault) || s.state.Rev == 77 || s.slot != 0 || s.acc.LatestSnapshot().Index != 0 {
 				t.Errorf("%s: %v, slot %d", c.name, err, s.slot)
 			}
 		}
-		if err := s.install(paxos.Checkpoint{Format: paxos.Format, Slot: 9, State: same}, event.Refilled); err != nil || s.slot != 9 {
+		if err := s.install(paxos.Snapshot{Format: paxos.Format, Index: 9, State: same}, event.Refilled); err != nil || s.slot != 9 {
 			t.Errorf("one of our own: %v, slot %d", err, s.slot)
 		}
 	})
@@ -117,13 +117,13 @@
 		s, _ := alone(t)
 		defer s.Kill()
 		prev := []byte("zero")
-		num := ballot.Number{Round: 1, Who: "other"}
+		num := ballot.Number{Round: 1, Candidate: "other"}
 		for slot := range uint64(voteEntries + 3) {
-			e := paxos.Entry{Slot: slot + 1, Prev: prev, Batch: packedBatch(t), Num: num}
+			e := paxos.Entry{Index: slot + 1, Previous: prev, Batch: packedBatch(t), Ballot: num}
 			if err := s.acc.Accept(e); err != nil {
 				t.Fatal(err)
 			}
-			prev = e.Sum()
+			prev = e.Digest()
 		}
 		told, more := s.acceptedAfter(0)
 		if len(told) != voteEntries || !more {
@@ -132,10 +132,10 @@
 		if rest, more := s.acceptedAfter(voteEntries); len(rest) != 3 || more {
 			t.Errorf("%d entries are left, more %v", len(rest), more)
 		}
-		mine := ballot.Number{Round: 2, Who: s.acc.Me().ID}
+		mine := ballot.Number{Round: 2, Candidate: s.acc.Identity().ID}
 		s.voter = ballot.NewVoter(mine, s.P.Vacant(), s.promise)
 		s.role.Fire("stand")
-		vote := ballotVote{ID: mine.Who, Yes: true, Entries: told[:2], More: true}
+		vote := ballotVote{ID: mine.Candidate, Yes: true, Entries: told[:2], More: true}
 		if s.prepare(t.Context(), mine, s.memberSet(), []ballotVote{vote}, []string{"me:1"}) {
 			t.Error("it leads by a vote that was cut")
 		}
--- a/internal/store/split_test.go
+++ b/internal/store/split_test.go
@@ -33,7 +33,7 @@
 		}
 		defer s.Kill()
 		s.state = ledger.New("m", nil)
-		s.state.Members = append(s.state.Members, ledger.Member{ID: s.acc.Me().ID, Addr: "me:1"}, ledger.Member{ID: "w", Addr: "w:1"})
+		s.state.Members = append(s.state.Members, ledger.Member{ID: s.acc.Identity().ID, Addr: "me:1"}, ledger.Member{ID: "w", Addr: "w:1"})
 		type said struct {
 			at  time.Time
 			num ballot.Number
@@ -49,7 +49,7 @@
 					asked <- said{time.Now(), in.Num}
 				}
 				// One votes for it, the others have promised another.
-				return ballotVote{ID: id, Yes: !in.Real || id == "b", Seen: ballot.Number{Round: 8, Who: "z"}}, nil
+				return ballotVote{ID: id, Yes: !in.Real || id == "b", Seen: ballot.Number{Round: 8, Candidate: "z"}}, nil
 			})
 			wire.On(n, "store.vacate", func(_ context.Context, _ wire.Hello, in vacateAsk) (ack, error) {
 				left <- said{time.Now(), in.Num}
@@ -61,7 +61,7 @@
 			defer n.Close()
 		}
 		s.role.Fire("filled")
-		s.voter = ballot.NewVoter(ballot.Number{Round: 7, Who: "w"}, p.Vacant(), s.promise)
+		s.voter = ballot.NewVoter(ballot.Number{Round: 7, Candidate: "w"}, p.Vacant(), s.promise)
 		s.g.Go("life", s.run)
 		<-time.After(3 * p.Vacant())
 		synctest.Wait()
--- a/internal/store/spread.go
+++ b/internal/store/spread.go
@@ -56,7 +56,7 @@
 		return ""
 	}
 	for i, m := range all {
-		if m.ID == s.acc.Me().ID {
+		if m.ID == s.acc.Identity().ID {
 			continue
 		}
 		then := slices.Clone(all)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -103,7 +103,7 @@
 	s.n.Bound = p.Links()
 	s.pulse = pulse.New(p.Beat(), p.Doze(), nil)
 	acc.Observe = e.Trace
-	for _, n := range acc.Notes {
+	for _, n := range acc.DamagedFiles {
 		e.Log.Emit(event.Damaged, "file", n)
 	}
 	s.role = state.New("empty", nil,
@@ -132,7 +132,7 @@
 	// Whoever gave the place has the leadership, or is about to.
 	free := time.Now().Add(s.P.Vacant() + s.campaignDelay(ballot.Number{}))
 	s.mu.Lock()
-	member := s.isMember(s.acc.Me().ID)
+	member := s.isMember(s.acc.Identity().ID)
 	s.campaignFrom = free
 	s.mu.Unlock()
 	if member && s.role.Fire("filled") {
@@ -165,9 +165,9 @@
 		return nil, err
 	}
 	s.recordLeases(cmds, out)
-	s.slot, s.sum = e.Slot, e.Sum()
+	s.slot, s.sum = e.Index, e.Digest()
 	s.grown(len(e.Batch))
-	s.e.Trace.Tell(trace.Applied{Replica: s.acc.Me().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
+	s.e.Trace.Tell(trace.Applied{Replica: s.acc.Identity().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
 	s.announceApplied()
 	return out, nil
 }
@@ -181,7 +181,7 @@
 	if err := s.listen(); err != nil {
 		return err
 	}
-	s.e.Log.Emit(event.Started, "program", "store", "inner", s.P.Inner, "replica", s.acc.Me().ID)
+	s.e.Log.Emit(event.Started, "program", "store", "inner", s.P.Inner, "replica", s.acc.Identity().ID)
 	s.g.Go("life", s.run)
 	s.g.Go("pulse", func(ctx context.Context) { s.pulse.Run(ctx, s.e.Pause) })
 	return nil
--- a/internal/store/tally.go
+++ b/internal/store/tally.go
@@ -13,7 +13,7 @@
 	least := uint64(math.MaxUint64)
 	for _, v := range votes {
 		if v.More && len(v.Entries) > 0 {
-			least = min(least, v.Entries[len(v.Entries)-1].Slot)
+			least = min(least, v.Entries[len(v.Entries)-1].Index)
 		}
 	}
 	return least
@@ -25,7 +25,7 @@
 	for _, v := range votes {
 		for i := range v.Entries {
 			e := &v.Entries[i]
-			if e.Slot == slot && (pick == nil || pick.Num.Less(e.Num)) {
+			if e.Index == slot && (pick == nil || pick.Ballot.Less(e.Ballot)) {
 				pick = e
 			}
 		}
@@ -39,7 +39,7 @@
 	if s.e.Trace == nil {
 		return
 	}
-	step := trace.Elected{Replica: s.acc.Me().ID, Ballot: t.num}
+	step := trace.Elected{Replica: s.acc.Identity().ID, Ballot: t.num}
 	for _, v := range votes {
 		step.Voters = append(step.Voters, v.ID)
 	}
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -46,11 +46,11 @@
 
 // isMending tells that a damaged entry has not been mended: until then this
 // replica may have forgotten what it accepted, and must not vote.
-func (s *Store) isMending() bool { return s.acc.Harmed() > s.slot }
+func (s *Store) isMending() bool { return s.acc.DamagedUpTo() > s.slot }
 
 func (s *Store) onBallot(_ context.Context, _ wire.Hello, in ballotAsk) (ballotVote, error) {
 	s.mu.Lock()
-	v := ballotVote{ID: s.acc.Me().ID, Slot: s.slot}
+	v := ballotVote{ID: s.acc.Identity().ID, Slot: s.slot}
 	able := s.votes() && !s.isMending() && !s.diskHangs() && !s.isForeign(in.Mesh, in.ID)
 	// One that knows of more entries may be a member by one of them.
 	v.Out = able && !s.isMember(in.ID) && s.slot >= in.Slot
@@ -59,7 +59,7 @@
 		s.candidate = in.Addr
 	}
 	s.mu.Unlock()
-	vow, quiet := s.voter.Vow()
+	vow, quiet := s.voter.Promised()
 	v.Seen = vow
 	if !able || v.Out {
 		return v, nil
@@ -67,50 +67,50 @@
 	if !in.Real {
 		// Asked before a round: a node that was cut off learns here that the
 		// duty is not vacant, without raising any number.
-		v.Yes = in.ID == vow.Who || quiet >= s.P.Vacant()
+		v.Yes = in.ID == vow.Candidate || quiet >= s.P.Vacant()
 		return v, nil
 	}
-	yes, seen, err := s.voter.Ask(in.Num)
+	yes, seen, err := s.voter.Vote(in.Num)
 	if err != nil {
 		return v, nil
 	}
 	v.Yes, v.Seen = yes, seen
 	if yes {
 		s.e.Log.Emit(event.Promised, "ballot", in.Num.String())
-		if in.ID != s.acc.Me().ID {
+		if in.ID != s.acc.Identity().ID {
 			s.stepDown("another was promised a higher ballot")
 		}
 		v.Entries, v.More = s.acceptedAfter(max(v.Slot, in.Slot))
 	}
 	// A vote under an identity that was given up meanwhile may lack what was
 	// accepted under it.
-	v.Yes = v.Yes && s.acc.Me().ID == v.ID
+	v.Yes = v.Yes && s.acc.Identity().ID == v.ID
 	return v, nil
 }
 
 func (s *Store) onAccept(ctx context.Context, _ wire.Hello, in acceptAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
+	a := ack{ID: s.acc.Identity().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
 	// While a write hangs, the next would only queue up behind it.
-	able := s.votes() && !s.leaving && in.Entry.Slot > s.slot && !s.diskHangs() && !s.isForeign(in.Mesh, in.Addr)
+	able := s.votes() && !s.leaving && in.Entry.Index > s.slot && !s.diskHangs() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		return a, nil
 	}
-	vow, _ := s.voter.Vow()
-	if in.Entry.Num.Less(vow) {
+	vow, _ := s.voter.Promised()
+	if in.Entry.Ballot.Less(vow) {
 		a.Seen = vow
 		return a, nil
 	}
 	if err := s.writeDurably(func() error { return s.acc.Accept(in.Entry) }); err != nil {
-		a.Seen, _ = s.voter.Vow()
+		a.Seen, _ = s.voter.Promised()
 		return a, nil
 	}
-	s.voter.Rise(in.Entry.Num)
-	if in.Entry.Num.Who != s.acc.Me().ID {
+	s.voter.RaisePromise(in.Entry.Ballot)
+	if in.Entry.Ballot.Candidate != s.acc.Identity().ID {
 		s.noteLeader(in.Addr)
 	}
-	a.Yes = s.acc.Me().ID == a.ID
+	a.Yes = s.acc.Identity().ID == a.ID
 	s.learnSoon(in.Slot, in.Sum, in.Addr)
 	return a, nil
 }
@@ -157,20 +157,20 @@
 
 func (s *Store) onBeat(_ context.Context, _ wire.Hello, in beatAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Me().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
+	a := ack{ID: s.acc.Identity().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
 	able := s.votes() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
 		s.noteLeaderIfEmpty(in.Addr)
 		return a, nil
 	}
-	yes, seen, err := s.voter.Beat(in.Num)
+	yes, seen, err := s.voter.Heartbeat(in.Num)
 	if err != nil {
 		return a, nil
 	}
 	a.Yes, a.Seen = yes, seen
 	if yes {
-		if in.Num.Who != s.acc.Me().ID {
+		if in.Num.Candidate != s.acc.Identity().ID {
 			s.stepDown("another writes")
 			s.noteLeader(in.Addr)
 		}
