--- a/internal/ctl/trials.go
+++ b/internal/ctl/trials.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"puffincrank/internal/judge"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 func (m *command) propose() int {
@@ -61,9 +61,9 @@
 }
 
 type oneTrial struct {
-	Version uint64        `json:"version"`
-	Trial   ledger.Trial  `json:"trial"`
-	Figures []judge.Facts `json:"figures"`
+	Version uint64             `json:"version"`
+	Trial   statemachine.Trial `json:"trial"`
+	Figures []judge.Facts      `json:"figures"`
 }
 
 func (m *command) trials() int {
@@ -77,8 +77,8 @@
 	case "list":
 		return m.show(http.MethodGet, "/puffin/trials", nil, func(raw []byte) error {
 			var got struct {
-				Version uint64         `json:"version"`
-				Trials  []ledger.Trial `json:"trials"`
+				Version uint64               `json:"version"`
+				Trials  []statemachine.Trial `json:"trials"`
 			}
 			if err := json.Unmarshal(raw, &got); err != nil {
 				return err
@@ -110,7 +110,7 @@
 				m.showTrial(got)
 				return err
 			})
-			if code != Fine || got.Trial.State != ledger.Running || m.a.JSON {
+			if code != Fine || got.Trial.State != statemachine.Running || m.a.JSON {
 				return code
 			}
 			t := time.NewTimer(2 * time.Second)
--- a/internal/house/wire_test.go
+++ b/internal/house/wire_test.go
@@ -5,17 +5,18 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"sort"
 	"strings"
 	"testing"
 
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/paxos"
 	"puffincrank/internal/plumtree"
 	"puffincrank/internal/proxy"
 	"puffincrank/internal/registry"
 	"puffincrank/internal/session"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 	"puffincrank/internal/wire"
 )
@@ -53,19 +54,34 @@
 // renamed gives the names of now of types whose Go names have changed since a
 // version was recorded. A type's name doesn't travel.
 var renamed = map[string]string{
-	"paxos.Checkpoint": "paxos.Snapshot",
+	"Checkpoint":   "Snapshot",
+	"Receipt":      "Result",
+	"AddStore":     "AddMember",
+	"FenceDuty":    "FenceRole",
+	"FreeLock":     "ReleaseLock",
+	"PutCell":      "PutGroupKey",
+	"RemoveStore":  "RemoveMember",
+	"ReplaceStore": "ReplaceMember",
+	"TakeLock":     "AcquireLock",
+	"TrimPast":     "CompactChanges",
+	"TrimPuts":     "CompactPuts",
+	"WantStores":   "SetVoterCount",
 }
 
+// formerNames finds the names of types in a recorded line that may have changed:
+// those of two packages, one of which has another name now, and those of commands.
+var formerNames = regexp.MustCompile(`(\bledger\.|\bpaxos\.|^command [a-z.]+ )(\w+)`)
+
 // ofNow is a recorded line with the names of now.
 func ofNow(line string) string {
-	words := strings.Split(line, " ")
-	for i, w := range words {
-		bare := strings.TrimLeft(w, "[]*")
-		if now, ok := renamed[bare]; ok {
-			words[i] = w[:len(w)-len(bare)] + now
+	return formerNames.ReplaceAllStringFunc(line, func(found string) string {
+		part := formerNames.FindStringSubmatch(found)
+		name := part[2]
+		if now, ok := renamed[name]; ok {
+			name = now
 		}
-	}
-	return strings.Join(words, " ")
+		return strings.Replace(part[1], "ledger.", "statemachine.", 1) + name
+	})
 }
 
 // TestFields: every field that an earlier version sent or stored is still
@@ -75,8 +91,8 @@
 	now := map[string]bool{}
 	all := append(store.Messages(), wire.Hello{}, session.Beat{}, session.Receipt{}, session.Push{}, session.PushBack{}, session.ListAsk{}, session.ListBack{}, session.Share{}, session.ShareBack{}, session.Outer{},
 		session.OuterBack{}, session.Report{}, session.Hand{}, session.Back{}, ormap.Delta{}, plumtree.Message{}, paxos.Entry{}, paxos.Identity{}, paxos.Snapshot{},
-		ledger.State{}, ledger.Packed{}, proxy.Status{}, proxy.StatusAsk{}, proxy.DrainAsk{}, registry.Status{})
-	for name, c := range ledger.Kinds() {
+		statemachine.State{}, statemachine.Packed{}, proxy.Status{}, proxy.StatusAsk{}, proxy.DrainAsk{}, registry.Status{})
+	for name, c := range statemachine.Kinds() {
 		now["command "+name+" "+reflect.TypeOf(c).Elem().Name()] = true
 		all = append(all, c)
 	}
--- a/internal/registry/abort.go
+++ b/internal/registry/abort.go
@@ -7,9 +7,9 @@
 	"github.com/go-chi/chi/v5"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/rules"
+	"puffincrank/internal/statemachine"
 )
 
 // abort ends a trial by an operator's word: the old path stays.
@@ -44,12 +44,12 @@
 		refuse(w, err.Error(), nil)
 		return
 	}
-	got, err := r.stores.offerOnce(ctx, "trial.decide", &ledger.Decide{ID: id, Base: now.Version, Doc: doc, State: ledger.Held, Why: "aborted by " + who(req), Who: who(req)}, key)
+	got, err := r.stores.offerOnce(ctx, "trial.decide", &statemachine.Decide{ID: id, Base: now.Version, Doc: doc, State: statemachine.Held, Why: "aborted by " + who(req), Who: who(req)}, key)
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Code == ledger.OK {
+	if got.Code == statemachine.OK {
 		r.e.Log.Emit(event.HeldBack, "trial", id, "version", got.Version, "why", "aborted by "+who(req))
 	}
 	answer(w, got, map[string]any{"version": got.Version, "trial": id})
--- a/internal/registry/app.go
+++ b/internal/registry/app.go
@@ -10,9 +10,9 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
@@ -79,7 +79,7 @@
 
 // appChange offers a command; its receipt's code is given the status that
 // codes says, and body makes the answer.
-func (r *Registry) appChange(w http.ResponseWriter, req *http.Request, c appCall, kind string, cmd ledger.Command, codes map[string]int, body func(ledger.Receipt) map[string]any) {
+func (r *Registry) appChange(w http.ResponseWriter, req *http.Request, c appCall, kind string, cmd statemachine.Command, codes map[string]int, body func(statemachine.Result) map[string]any) {
 	// What is read right after a freeze may be as old as the freeze: its sender
 	// has turned elsewhere, and what it did there must not be undone.
 	if time.Since(r.pulse.Woke()) < r.P.Beat() {
@@ -92,13 +92,13 @@
 	r.appAnswer(w, got, err, codes, body)
 }
 
-func (r *Registry) appAnswer(w http.ResponseWriter, got ledger.Receipt, err error, codes map[string]int, body func(ledger.Receipt) map[string]any) {
+func (r *Registry) appAnswer(w http.ResponseWriter, got statemachine.Result, err error, codes map[string]int, body func(statemachine.Result) map[string]any) {
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Code == ledger.Full {
-		outer.Busy(w, "nothing was done: "+got.Say, r.P.Change)
+	if got.Code == statemachine.Full {
+		outer.Busy(w, "nothing was done: "+got.Message, r.P.Change)
 		return
 	}
 	code := codes[got.Code]
@@ -106,8 +106,8 @@
 		code = http.StatusOK
 	}
 	out := body(got)
-	if code != http.StatusOK && got.Say != "" {
-		out["wrong"] = got.Say
+	if code != http.StatusOK && got.Message != "" {
+		out["wrong"] = got.Message
 	}
 	outer.JSON(w, code, out)
 }
@@ -115,41 +115,41 @@
 // appTime is a time to live; a part of a millisecond counts as a whole one.
 func appTime(v settings.Values) int64 { return int64(math.Ceil(v.Share("ttl_ms"))) }
 
-func fenceBody(got ledger.Receipt) map[string]any {
-	if got.Code == ledger.OK && got.Lock != nil {
+func fenceBody(got statemachine.Result) map[string]any {
+	if got.Code == statemachine.OK && got.Lock != nil {
 		return map[string]any{"fence": got.Lock.Fence}
 	}
 	return map[string]any{}
 }
 
-func revBody(got ledger.Receipt) map[string]any { return map[string]any{"rev": got.Rev} }
+func revBody(got statemachine.Result) map[string]any { return map[string]any{"rev": got.Revision} }
 
 // appTake takes a lock; its holder keeps the fence and gets more time.
 func (r *Registry) appTake(w http.ResponseWriter, req *http.Request) {
 	if c, ok := r.appRead(w, req, TabTake); ok {
-		cmd := &ledger.TakeLock{Name: c.name, Owner: c.v.Text("owner"), TTL: appTime(c.v), Same: true}
-		r.appChange(w, req, c, "lock.take", cmd, map[string]int{ledger.Conflict: http.StatusConflict}, fenceBody)
+		cmd := &statemachine.AcquireLock{Name: c.name, Owner: c.v.Text("owner"), TTL: appTime(c.v), Same: true}
+		r.appChange(w, req, c, "lock.take", cmd, map[string]int{statemachine.Conflict: http.StatusConflict}, fenceBody)
 	}
 }
 
 func (r *Registry) appHold(w http.ResponseWriter, req *http.Request) {
 	if c, ok := r.appRead(w, req, TabHold); ok {
-		cmd := &ledger.TakeLock{Name: c.name, Owner: c.v.Text("owner"), TTL: appTime(c.v), Renew: true, Fence: uint64(c.v.Count("fence"))}
-		r.appChange(w, req, c, "lock.take", cmd, map[string]int{ledger.Conflict: http.StatusConflict, ledger.Absent: http.StatusConflict}, fenceBody)
+		cmd := &statemachine.AcquireLock{Name: c.name, Owner: c.v.Text("owner"), TTL: appTime(c.v), Renew: true, Fence: uint64(c.v.Count("fence"))}
+		r.appChange(w, req, c, "lock.take", cmd, map[string]int{statemachine.Conflict: http.StatusConflict, statemachine.Absent: http.StatusConflict}, fenceBody)
 	}
 }
 
 // appFree gives a lock back. That it is not held any more is no fault.
 func (r *Registry) appFree(w http.ResponseWriter, req *http.Request) {
 	if c, ok := r.appRead(w, req, TabFree); ok {
-		cmd := &ledger.FreeLock{Name: c.name, Owner: c.v.Text("owner"), Fence: uint64(c.v.Count("fence"))}
+		cmd := &statemachine.ReleaseLock{Name: c.name, Owner: c.v.Text("owner"), Fence: uint64(c.v.Count("fence"))}
 		r.appChange(w, req, c, "lock.free", cmd, nil, fenceBody)
 	}
 }
 
 func (r *Registry) appNext(w http.ResponseWriter, req *http.Request) {
 	if c, ok := r.appRead(w, req, TabNext); ok {
-		r.appChange(w, req, c, "number.next", &ledger.NextNumber{Name: c.name}, nil, func(got ledger.Receipt) map[string]any {
+		r.appChange(w, req, c, "number.next", &statemachine.NextNumber{Name: c.name}, nil, func(got statemachine.Result) map[string]any {
 			return map[string]any{"value": got.Number}
 		})
 	}
@@ -158,8 +158,8 @@
 func (r *Registry) appPut(w http.ResponseWriter, req *http.Request) {
 	if c, ok := r.appRead(w, req, TabCell); ok {
 		rev, cond := c.v["if_rev"].(int64)
-		cmd := &ledger.PutCell{Name: c.name, Value: []byte(c.v.Text("value")), If: cond, Rev: uint64(rev)}
-		r.appChange(w, req, c, "cell.put", cmd, map[string]int{ledger.Conflict: http.StatusPreconditionFailed}, revBody)
+		cmd := &statemachine.PutGroupKey{Name: c.name, Value: []byte(c.v.Text("value")), If: cond, Revision: uint64(rev)}
+		r.appChange(w, req, c, "cell.put", cmd, map[string]int{statemachine.Conflict: http.StatusPreconditionFailed}, revBody)
 	}
 }
 
@@ -171,11 +171,11 @@
 	ctx, end := r.timed(req)
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "cell", Name: c.name})
-	r.appAnswer(w, got, err, map[string]int{ledger.Absent: http.StatusNotFound}, func(got ledger.Receipt) map[string]any {
+	r.appAnswer(w, got, err, map[string]int{statemachine.Absent: http.StatusNotFound}, func(got statemachine.Result) map[string]any {
 		if got.Key == nil {
 			return map[string]any{}
 		}
-		return map[string]any{"value": string(got.Key.Value), "rev": got.Key.Rev}
+		return map[string]any{"value": string(got.Key.Value), "rev": got.Key.Revision}
 	})
 }
 
@@ -208,7 +208,7 @@
 	ctx, end := context.WithTimeout(req.Context(), long)
 	defer end()
 	got, err := r.stores.puts(ctx, store.Query{What: "puts", Name: c.name, From: after}, wait, r.P.Change)
-	r.appAnswer(w, got, err, map[string]int{ledger.Gone: http.StatusGone}, func(got ledger.Receipt) map[string]any {
+	r.appAnswer(w, got, err, map[string]int{statemachine.Gone: http.StatusGone}, func(got statemachine.Result) map[string]any {
 		type line struct {
 			Name  string `json:"name"`
 			Value string `json:"value"`
@@ -216,8 +216,8 @@
 		}
 		lines := []line{}
 		for _, c := range got.Changes {
-			lines = append(lines, line{c.Name, string(c.Value), c.Rev})
+			lines = append(lines, line{c.Name, string(c.Value), c.Revision})
 		}
-		return map[string]any{"changes": lines, "rev": got.Rev}
+		return map[string]any{"changes": lines, "rev": got.Revision}
 	})
 }
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -7,10 +7,10 @@
 	"strconv"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
@@ -56,15 +56,15 @@
 	if now {
 		why = "applied whole as an emergency"
 	}
-	got, err := r.stores.offerOnce(ctx, "config.set", &ledger.SetConfig{Base: base, Doc: raw, Who: who(req), Why: why, Now: now}, key)
+	got, err := r.stores.offerOnce(ctx, "config.set", &statemachine.SetConfig{Base: base, Doc: raw, Who: who(req), Why: why, Now: now}, key)
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Code == ledger.OK && now {
+	if got.Code == statemachine.OK && now {
 		r.e.Log.Emit(event.Emergency, "version", got.Version, "who", who(req))
 	}
-	if got.Code == ledger.OK {
+	if got.Code == statemachine.OK {
 		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
 	}
 	answerOrder(w, got, nil)
@@ -72,9 +72,9 @@
 
 // rehearse begins a trial for a whole document's changed live paths; false
 // means that there are none.
-func (r *Registry) rehearse(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, old ledger.Receipt, raw []byte) bool {
+func (r *Registry) rehearse(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, old statemachine.Result, raw []byte) bool {
 	for _, t := range old.Trials {
-		if t.State == ledger.Running {
+		if t.State == statemachine.Running {
 			outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: fmt.Sprintf("trial %d runs: wait, abort it, or apply as an emergency", t.ID), Version: old.Version})
 			return true
 		}
@@ -88,7 +88,7 @@
 		refuse(w, "a path with traffic is rehearsed first, and its old arm needs what the document drops; keep that until the trial ends, or apply as an emergency", bad)
 		return true
 	}
-	r.begin(ctx, w, req, key, &ledger.Propose{ID: old.Number + 1, Base: old.Version, Doc: doc, Paths: paths, Slice: c.Judge.Share("slice"), Who: who(req)})
+	r.begin(ctx, w, req, key, &statemachine.Propose{ID: old.Number + 1, Base: old.Version, Doc: doc, Paths: paths, Slice: c.Judge.Share("slice"), Who: who(req)})
 	return true
 }
 
@@ -109,7 +109,7 @@
 		return
 	}
 	type row struct {
-		ledger.Config
+		statemachine.Config
 		Doc any `json:"document,omitempty"`
 	}
 	rows := []row{}
--- a/internal/registry/coord.go
+++ b/internal/registry/coord.go
@@ -5,9 +5,9 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
@@ -56,19 +56,19 @@
 }
 
 // answer turns a receipt into a status and a body.
-func answer(w http.ResponseWriter, got ledger.Receipt, body map[string]any) {
-	code := map[string]int{ledger.OK: http.StatusOK, ledger.Conflict: http.StatusConflict, ledger.Reused: http.StatusConflict, ledger.Absent: http.StatusNotFound, ledger.Gone: http.StatusGone, ledger.Full: http.StatusServiceUnavailable}[got.Code]
+func answer(w http.ResponseWriter, got statemachine.Result, body map[string]any) {
+	code := map[string]int{statemachine.OK: http.StatusOK, statemachine.Conflict: http.StatusConflict, statemachine.Reused: http.StatusConflict, statemachine.Absent: http.StatusNotFound, statemachine.Gone: http.StatusGone, statemachine.Full: http.StatusServiceUnavailable}[got.Code]
 	if code == 0 {
 		code = http.StatusInternalServerError
 	}
-	if got.Say != "" {
-		body["wrong"] = got.Say
+	if got.Message != "" {
+		body["wrong"] = got.Message
 	}
 	outer.JSON(w, code, body)
 }
 
 // change offers a command and answers with what body makes of the receipt.
-func (r *Registry) change(w http.ResponseWriter, req *http.Request, kind string, cmd ledger.Command, body func(ledger.Receipt) map[string]any) {
+func (r *Registry) change(w http.ResponseWriter, req *http.Request, kind string, cmd statemachine.Command, body func(statemachine.Result) map[string]any) {
 	ctx, end := r.timed(req)
 	defer end()
 	got, err := r.stores.offer(ctx, kind, cmd)
@@ -79,7 +79,7 @@
 	answer(w, got, body(got))
 }
 
-func (r *Registry) query(w http.ResponseWriter, req *http.Request, q store.Query, body func(ledger.Receipt) map[string]any) {
+func (r *Registry) query(w http.ResponseWriter, req *http.Request, q store.Query, body func(statemachine.Result) map[string]any) {
 	ctx, end := r.timed(req)
 	defer end()
 	got, err := r.stores.read(ctx, q)
@@ -90,8 +90,8 @@
 	answer(w, got, body(got))
 }
 
-func lockBody(name string) func(ledger.Receipt) map[string]any {
-	return func(got ledger.Receipt) map[string]any {
+func lockBody(name string) func(statemachine.Result) map[string]any {
+	return func(got statemachine.Result) map[string]any {
 		out := map[string]any{"lock": name}
 		if got.Lock != nil {
 			out["owner"], out["fence"], out["ttl_ms"] = got.Lock.Owner, got.Lock.Fence, got.Lock.TTL
@@ -106,9 +106,9 @@
 }
 
 func (r *Registry) getLocks(w http.ResponseWriter, req *http.Request) {
-	r.query(w, req, store.Query{What: "locks"}, func(got ledger.Receipt) map[string]any {
+	r.query(w, req, store.Query{What: "locks"}, func(got statemachine.Result) map[string]any {
 		if got.Locks == nil {
-			got.Locks = map[string]ledger.Lock{}
+			got.Locks = map[string]statemachine.Lock{}
 		}
 		return map[string]any{"locks": got.Locks}
 	})
@@ -127,18 +127,20 @@
 	owner, fence := v.Text("owner"), uint64(v.Count("fence"))
 	switch op {
 	case "acquire":
-		r.change(w, req, "lock.take", &ledger.TakeLock{Name: name, Owner: owner, TTL: v.Count("ttl_ms")}, lockBody(name))
+		r.change(w, req, "lock.take", &statemachine.AcquireLock{Name: name, Owner: owner, TTL: v.Count("ttl_ms")}, lockBody(name))
 	case "renew":
-		r.change(w, req, "lock.take", &ledger.TakeLock{Name: name, Owner: owner, TTL: v.Count("ttl_ms"), Renew: true, Fence: fence}, lockBody(name))
+		r.change(w, req, "lock.take", &statemachine.AcquireLock{Name: name, Owner: owner, TTL: v.Count("ttl_ms"), Renew: true, Fence: fence}, lockBody(name))
 	case "release":
-		r.change(w, req, "lock.free", &ledger.FreeLock{Name: name, Owner: owner, Fence: fence}, lockBody(name))
+		r.change(w, req, "lock.free", &statemachine.ReleaseLock{Name: name, Owner: owner, Fence: fence}, lockBody(name))
 	default:
 		outer.JSON(w, http.StatusNotFound, outer.Wrong{Wrong: "a lock knows acquire, renew and release"})
 	}
 }
 
-func numberBody(name string) func(ledger.Receipt) map[string]any {
-	return func(got ledger.Receipt) map[string]any { return map[string]any{"name": name, "number": got.Number} }
+func numberBody(name string) func(statemachine.Result) map[string]any {
+	return func(got statemachine.Result) map[string]any {
+		return map[string]any{"name": name, "number": got.Number}
+	}
 }
 
 func (r *Registry) getNumber(w http.ResponseWriter, req *http.Request) {
@@ -152,5 +154,5 @@
 		outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: "the number's name is wrong"})
 		return
 	}
-	r.change(w, req, "number.next", &ledger.NextNumber{Name: name}, numberBody(name))
+	r.change(w, req, "number.next", &statemachine.NextNumber{Name: name}, numberBody(name))
 }
--- a/internal/registry/duty.go
+++ b/internal/registry/duty.go
@@ -8,8 +8,8 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/ormap"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 	"puffincrank/internal/wire"
 )
@@ -80,8 +80,8 @@
 	}
 	one, end := context.WithTimeout(ctx, d.r.P.Lease())
 	defer end()
-	got, err := d.r.stores.offer(one, "duty.fence", &ledger.FenceDuty{Duty: d.name, Num: num})
-	if err != nil || got.Code != ledger.OK {
+	got, err := d.r.stores.offer(one, "duty.fence", &statemachine.FenceRole{Role: d.name, Ballot: num})
+	if err != nil || got.Code != statemachine.OK {
 		return
 	}
 	d.mu.Lock()
--- a/internal/registry/judge.go
+++ b/internal/registry/judge.go
@@ -9,10 +9,10 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
 	"puffincrank/internal/judge"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/session"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
@@ -65,7 +65,7 @@
 }
 
 // weigh sums the reports up for one trial and judges each of its paths.
-func (r *Registry) weigh(t ledger.Trial, all []session.Report, b judge.Bounds) []judge.Facts {
+func (r *Registry) weigh(t statemachine.Trial, all []session.Report, b judge.Bounds) []judge.Facts {
 	var out []judge.Facts
 	for _, path := range t.Paths {
 		var old, now judge.Arm
@@ -94,9 +94,9 @@
 func (r *Registry) judge(ctx context.Context, num ballot.Number) {
 	r.mu.Lock()
 	rl, trials := r.rules, r.trials
-	run := []ledger.Trial{}
+	run := []statemachine.Trial{}
 	for _, t := range trials {
-		if t.State == ledger.Running {
+		if t.State == statemachine.Running {
 			run = append(run, t)
 		}
 	}
@@ -150,7 +150,7 @@
 // decide ends a trial when every path is good, or one is bad. The decision
 // carries the judge's ballot and the version it is based on, so it is taken
 // once, whoever else tries.
-func (r *Registry) decide(ctx context.Context, t ledger.Trial, facts []judge.Facts, num ballot.Number, rl *rules.Rules) {
+func (r *Registry) decide(ctx context.Context, t statemachine.Trial, facts []judge.Facts, num ballot.Number, rl *rules.Rules) {
 	word, why := judge.Good, "every path of the change is good"
 	for _, f := range facts {
 		if f.Word == judge.Bad {
@@ -167,11 +167,11 @@
 	if word == judge.Good && len(facts) == 1 {
 		why = facts[0].Why
 	}
-	state := ledger.Promoted
+	state := statemachine.Promoted
 	if word == judge.Bad {
-		state = ledger.Held
+		state = statemachine.Held
 	}
-	doc, err := rules.Settle(rl.Doc, t.ID, state == ledger.Promoted)
+	doc, err := rules.Settle(rl.Doc, t.ID, state == statemachine.Promoted)
 	if err != nil {
 		return
 	}
@@ -181,13 +181,13 @@
 	}
 	ctx, end := context.WithTimeout(ctx, r.P.Change)
 	defer end()
-	got, err := r.stores.offer(ctx, "trial.decide", &ledger.Decide{ID: t.ID, Num: num, Base: rl.Version, Doc: doc, State: state, Why: why, Who: "judge", Facts: raw})
-	if err != nil || got.Code != ledger.OK {
+	got, err := r.stores.offer(ctx, "trial.decide", &statemachine.Decide{ID: t.ID, Ballot: num, Base: rl.Version, Doc: doc, State: state, Why: why, Who: "judge", Facts: raw})
+	if err != nil || got.Code != statemachine.OK {
 		// Looked at again at the next beat, on what then stands.
 		return
 	}
 	kind := event.Promoted
-	if state == ledger.Held {
+	if state == statemachine.Held {
 		kind = event.HeldBack
 	}
 	r.e.Log.Emit(kind, "trial", t.ID, "version", got.Version, "why", why)
--- a/internal/registry/keys.go
+++ b/internal/registry/keys.go
@@ -7,16 +7,16 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
-func keyBody(name string) func(ledger.Receipt) map[string]any {
-	return func(got ledger.Receipt) map[string]any {
-		out := map[string]any{"key": name, "rev": got.Rev}
+func keyBody(name string) func(statemachine.Result) map[string]any {
+	return func(got statemachine.Result) map[string]any {
+		out := map[string]any{"key": name, "rev": got.Revision}
 		if got.Key != nil {
-			out["value"], out["rev"], out["made"] = string(got.Key.Value), got.Key.Rev, got.Key.Made
+			out["value"], out["rev"], out["made"] = string(got.Key.Value), got.Key.Revision, got.Key.CreatedRevision
 		}
 		return out
 	}
@@ -33,11 +33,11 @@
 }
 
 func (r *Registry) listKeys(w http.ResponseWriter, req *http.Request) {
-	r.query(w, req, store.Query{What: "keys", Name: req.URL.Query().Get("prefix")}, func(got ledger.Receipt) map[string]any {
+	r.query(w, req, store.Query{What: "keys", Name: req.URL.Query().Get("prefix")}, func(got statemachine.Result) map[string]any {
 		if got.Names == nil {
 			got.Names = []string{}
 		}
-		return map[string]any{"keys": got.Names, "rev": got.Rev}
+		return map[string]any{"keys": got.Names, "rev": got.Revision}
 	})
 }
 
@@ -57,7 +57,7 @@
 		return
 	}
 	rev, cond := v["if_rev"].(int64)
-	r.change(w, req, "key.put", &ledger.PutKey{Name: name, Value: []byte(v.Text("value")), If: cond, Rev: uint64(rev)}, keyBody(name))
+	r.change(w, req, "key.put", &statemachine.PutKey{Name: name, Value: []byte(v.Text("value")), If: cond, Revision: uint64(rev)}, keyBody(name))
 }
 
 func (r *Registry) deleteKey(w http.ResponseWriter, req *http.Request) {
@@ -65,14 +65,14 @@
 	if !ok {
 		return
 	}
-	cmd := &ledger.DeleteKey{Name: name}
+	cmd := &statemachine.DeleteKey{Name: name}
 	if raw := req.URL.Query().Get("if_rev"); raw != "" {
 		rev, err := strconv.ParseUint(raw, 10, 64)
 		if err != nil {
 			outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: "if_rev must be a revision"})
 			return
 		}
-		cmd.If, cmd.Rev = true, rev
+		cmd.If, cmd.Revision = true, rev
 	}
 	r.change(w, req, "key.delete", cmd, keyBody(name))
 }
@@ -94,21 +94,21 @@
 		r.failed(w, err)
 		return
 	}
-	if got.Code == ledger.Gone {
-		outer.JSON(w, http.StatusGone, map[string]any{"wrong": "the history does not reach back so far", "oldest": got.Rev})
+	if got.Code == statemachine.Gone {
+		outer.JSON(w, http.StatusGone, map[string]any{"wrong": "the history does not reach back so far", "oldest": got.Revision})
 		return
 	}
 	type line struct {
-		ledger.Change
+		statemachine.Change
 		Value string `json:"value,omitempty"`
 	}
 	lines := []line{}
-	next := max(from, got.Rev+1)
+	next := max(from, got.Revision+1)
 	for _, c := range got.Changes {
 		lines = append(lines, line{c, string(c.Value)})
 	}
 	if len(got.Changes) == 256 {
-		next = got.Changes[255].Rev + 1
+		next = got.Changes[255].Revision + 1
 	}
 	outer.JSON(w, http.StatusOK, map[string]any{"changes": lines, "next": next})
 }
--- a/internal/registry/number.go
+++ b/internal/registry/number.go
@@ -6,9 +6,9 @@
 	"net/http"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
@@ -40,13 +40,13 @@
 	defer end()
 	got, known, err := r.knownNumber(ctx, key)
 	if err == nil && !known {
-		got, err = r.stores.offerOnce(ctx, "config.number", &ledger.NumberConfig{Number: c.Number, Doc: raw, Who: who(req), Why: "applied whole by its number"}, key)
+		got, err = r.stores.offerOnce(ctx, "config.number", &statemachine.NumberConfig{Number: c.Number, Doc: raw, Who: who(req), Why: "applied whole by its number"}, key)
 	}
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Code == ledger.OK && got.Version == c.Number && !known && got.Say == "" {
+	if got.Code == statemachine.OK && got.Version == c.Number && !known && got.Message == "" {
 		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
 	}
 	answerOrder(w, got, nil)
@@ -54,9 +54,9 @@
 
 // knownNumber looks whether a number that is not above the version held here has
 // been answered: then nothing needs to be written for it.
-func (r *Registry) knownNumber(ctx context.Context, key *store.RequestKey) (ledger.Receipt, bool, error) {
+func (r *Registry) knownNumber(ctx context.Context, key *store.RequestKey) (statemachine.Result, bool, error) {
 	if r.version() < key.Number {
-		return ledger.Receipt{}, false, nil
+		return statemachine.Result{}, false, nil
 	}
 	return r.earlierAnswer(ctx, key)
 }
@@ -70,8 +70,8 @@
 		r.failed(w, err)
 		return
 	}
-	if got.Code != ledger.OK {
-		outer.JSON(w, http.StatusNotFound, outer.Wrong{Wrong: got.Say})
+	if got.Code != statemachine.OK {
+		outer.JSON(w, http.StatusNotFound, outer.Wrong{Wrong: got.Message})
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/registry/poll.go
+++ b/internal/registry/poll.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/patch"
 	"puffincrank/internal/rules"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
@@ -47,7 +47,7 @@
 }
 
 // takeConfig puts a newer configuration in force here and pushes it at once.
-func (r *Registry) takeConfig(got ledger.Receipt) bool {
+func (r *Registry) takeConfig(got statemachine.Result) bool {
 	r.mu.Lock()
 	have := uint64(0)
 	old := r.rules
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,7 +16,6 @@
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
 	"puffincrank/internal/hlc"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/member"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/patch"
@@ -26,6 +25,7 @@
 	"puffincrank/internal/rules"
 	"puffincrank/internal/session"
 	"puffincrank/internal/state"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
@@ -76,7 +76,7 @@
 		doc     []byte // the document of that version, compressed
 	}
 	whole  bool // the next document must come whole: the poll\'s own
-	trials []ledger.Trial
+	trials []statemachine.Trial
 	tries  uint64
 	looked time.Time                    // judge: the last look
 	seenOf map[reportKey]session.Report // judge: the newest report of each front's start
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"net/http"
 
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 )
 
@@ -46,24 +46,24 @@
 // numberKey identifies a configuration under the operator's own number. One
 // number stands for one content, whoever sends it.
 func numberKey(number uint64, doc []byte) *store.RequestKey {
-	return &store.RequestKey{ID: ledger.NumberRequestID(number), Digest: ledger.DocumentDigest(doc), Number: number}
+	return &store.RequestKey{ID: statemachine.NumberRequestID(number), Digest: statemachine.DocumentDigest(doc), Number: number}
 }
 
 // earlierAnswer gives the first answer of a request that was taken already. A
 // majority confirms that it is known, or that it is not.
-func (r *Registry) earlierAnswer(ctx context.Context, key *store.RequestKey) (got ledger.Receipt, known bool, err error) {
+func (r *Registry) earlierAnswer(ctx context.Context, key *store.RequestKey) (got statemachine.Result, known bool, err error) {
 	got, err = r.stores.read(ctx, store.Query{What: "request", Name: key.ID})
-	if err != nil || got.Code != ledger.OK || got.Earlier == nil {
-		return ledger.Receipt{}, false, err
+	if err != nil || got.Code != statemachine.OK || got.Earlier == nil {
+		return statemachine.Result{}, false, err
 	}
 	return got.Earlier.Repeat(key.Digest), true, nil
 }
 
 // answerOrder answers an order that puts a version in force, or begins a trial.
-func answerOrder(w http.ResponseWriter, got ledger.Receipt, paths []string) {
+func answerOrder(w http.ResponseWriter, got statemachine.Result, paths []string) {
 	switch {
-	case got.Code != ledger.OK:
-		outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: got.Say, Version: got.Version})
+	case got.Code != statemachine.OK:
+		outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: got.Message, Version: got.Version})
 	case got.Number > 0:
 		outer.JSON(w, http.StatusOK, map[string]any{"version": got.Version, "trial": got.Number, "paths": paths})
 	default:
@@ -83,7 +83,7 @@
 		return false
 	}
 	var paths []string
-	if got.Code == ledger.OK && got.Number > 0 {
+	if got.Code == statemachine.OK && got.Number > 0 {
 		now, err := r.confirmed(ctx)
 		if err != nil {
 			r.failed(w, err)
@@ -96,7 +96,7 @@
 }
 
 // pathsOf gives the paths of a trial, none when it is no longer known.
-func pathsOf(trials []ledger.Trial, id uint64) []string {
+func pathsOf(trials []statemachine.Trial, id uint64) []string {
 	for _, t := range trials {
 		if t.ID == id {
 			return t.Paths
--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -9,7 +9,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 	"puffincrank/internal/wire"
 )
@@ -92,19 +92,19 @@
 
 // ask goes round the stores until the writer answers. Once a store may have
 // acted on a change, no other is asked: the outcome is unknown.
-func (c *stores) ask(ctx context.Context, kind string, in any, again bool) (ledger.Receipt, error) {
+func (c *stores) ask(ctx context.Context, kind string, in any, again bool) (statemachine.Result, error) {
 	return c.askFor(ctx, kind, in, again, c.wait, time.Time{})
 }
 
 // askFor is ask with the time that one store may take to answer a read, and
 // the moment after which a change is no longer sent anywhere.
-func (c *stores) askFor(ctx context.Context, kind string, in any, again bool, long time.Duration, by time.Time) (ledger.Receipt, error) {
+func (c *stores) askFor(ctx context.Context, kind string, in any, again bool, long time.Duration, by time.Time) (statemachine.Result, error) {
 	var last error = fault.New(fault.Refused, "no store writes")
 	for {
 		tried := map[string]bool{}
 		for at := c.next(tried); at != ""; at = c.next(tried) {
 			if ctx.Err() != nil || !by.IsZero() && !time.Now().Before(by) {
-				return ledger.Receipt{}, fault.New(fault.Refused, "no time left: %v", last)
+				return statemachine.Result{}, fault.New(fault.Refused, "no time left: %v", last)
 			}
 			tried[at] = true
 			// A change has the whole time left, since a cut-off wait would
@@ -125,7 +125,7 @@
 			c.lose(ctx, at)
 			last = err
 			if !again && !fault.Is(err, fault.Unsent) && !fault.Is(err, fault.Refused) {
-				return ledger.Receipt{}, fault.Wrap(fault.Unknown, err, "change handed to the store")
+				return statemachine.Result{}, fault.Wrap(fault.Unknown, err, "change handed to the store")
 			}
 		}
 		t := time.NewTimer(c.rest)
@@ -133,7 +133,7 @@
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
-			return ledger.Receipt{}, fault.New(fault.Refused, "no store in touch with a majority: %v", last)
+			return statemachine.Result{}, fault.New(fault.Refused, "no store in touch with a majority: %v", last)
 		}
 	}
 }
@@ -150,24 +150,24 @@
 }
 
 // offer proposes a command.
-func (c *stores) offer(ctx context.Context, kind string, cmd ledger.Command) (ledger.Receipt, error) {
+func (c *stores) offer(ctx context.Context, kind string, cmd statemachine.Command) (statemachine.Result, error) {
 	return c.offerBy(ctx, kind, cmd, time.Time{})
 }
 
 // offerOnce proposes the command of a request that may be sent again.
-func (c *stores) offerOnce(ctx context.Context, kind string, cmd ledger.Command, key *store.RequestKey) (ledger.Receipt, error) {
-	p, err := ledger.Pack(kind, cmd)
+func (c *stores) offerOnce(ctx context.Context, kind string, cmd statemachine.Command, key *store.RequestKey) (statemachine.Result, error) {
+	p, err := statemachine.Pack(kind, cmd)
 	if err != nil {
-		return ledger.Receipt{}, err
+		return statemachine.Result{}, err
 	}
 	return c.ask(ctx, "store.offer", store.Offer{Cmd: p, Once: key}, false)
 }
 
 // offerBy proposes a command that must not be done when it comes later than by.
-func (c *stores) offerBy(ctx context.Context, kind string, cmd ledger.Command, by time.Time) (ledger.Receipt, error) {
-	p, err := ledger.Pack(kind, cmd)
+func (c *stores) offerBy(ctx context.Context, kind string, cmd statemachine.Command, by time.Time) (statemachine.Result, error) {
+	p, err := statemachine.Pack(kind, cmd)
 	if err != nil {
-		return ledger.Receipt{}, err
+		return statemachine.Result{}, err
 	}
 	in := store.Offer{Cmd: p}
 	if end, ok := ctx.Deadline(); ok && by.Before(end) && !by.IsZero() {
@@ -177,12 +177,12 @@
 }
 
 // read asks for a confirmed read.
-func (c *stores) read(ctx context.Context, q store.Query) (ledger.Receipt, error) {
+func (c *stores) read(ctx context.Context, q store.Query) (statemachine.Result, error) {
 	return c.ask(ctx, "store.read", q, true)
 }
 
 // watch asks any store for changes; the own machine's is the first seed.
-func (c *stores) watch(ctx context.Context, q store.Query) (ledger.Receipt, error) {
+func (c *stores) watch(ctx context.Context, q store.Query) (statemachine.Result, error) {
 	var last error
 	for _, at := range c.list() {
 		g, err := wire.Ask[store.Given](ctx, c.n, at, "store.watch", q)
@@ -194,18 +194,18 @@
 			break
 		}
 	}
-	return ledger.Receipt{}, fault.Wrap(fault.Refused, last, "watch")
+	return statemachine.Result{}, fault.Wrap(fault.Refused, last, "watch")
 }
 
 // puts asks the writer for the puts of a group. A long wait is made of parts,
 // so that a store that went dark in the middle of it is left soon.
-func (c *stores) puts(ctx context.Context, q store.Query, wait, part time.Duration) (ledger.Receipt, error) {
+func (c *stores) puts(ctx context.Context, q store.Query, wait, part time.Duration) (statemachine.Result, error) {
 	end := time.Now().Add(wait)
 	for {
 		one := max(min(time.Until(end), part), 0)
 		q.Wait = one.Milliseconds()
 		got, err := c.askFor(ctx, "store.puts", q, true, one+c.wait, time.Time{})
-		if err != nil || got.Code != ledger.OK || len(got.Changes) > 0 || q.From == 0 || time.Until(end) < time.Millisecond {
+		if err != nil || got.Code != statemachine.OK || len(got.Changes) > 0 || q.From == 0 || time.Until(end) < time.Millisecond {
 			return got, err
 		}
 	}
--- a/internal/registry/trials.go
+++ b/internal/registry/trials.go
@@ -10,12 +10,12 @@
 	"github.com/go-chi/chi/v5"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/proxy"
 	"puffincrank/internal/rules"
 	"puffincrank/internal/session"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/store"
 	"puffincrank/internal/wire"
 )
@@ -35,7 +35,7 @@
 }}
 
 // confirmed reads the configuration and the trials with a majority.
-func (r *Registry) confirmed(ctx context.Context) (ledger.Receipt, error) {
+func (r *Registry) confirmed(ctx context.Context) (statemachine.Result, error) {
 	return r.stores.read(ctx, store.Query{What: "config"})
 }
 
@@ -95,7 +95,7 @@
 	}
 	for _, t := range now.Trials {
 		for _, p := range t.Paths {
-			if t.State == ledger.Running && p == path {
+			if t.State == statemachine.Running && p == path {
 				outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: fmt.Sprintf("trial %d runs on the same path", t.ID), Version: now.Version})
 				return
 			}
@@ -115,26 +115,26 @@
 		refuse(w, "the proposal can't stand", bad)
 		return
 	}
-	r.begin(ctx, w, req, key, &ledger.Propose{ID: id, Base: base, Doc: doc, Paths: []string{path}, Slice: slice, Who: who(req)})
+	r.begin(ctx, w, req, key, &statemachine.Propose{ID: id, Base: base, Doc: doc, Paths: []string{path}, Slice: slice, Who: who(req)})
 }
 
 // begin offers a trial and answers.
-func (r *Registry) begin(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, c *ledger.Propose) {
+func (r *Registry) begin(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, c *statemachine.Propose) {
 	got, err := r.stores.offerOnce(ctx, "trial.propose", c, key)
 	if err != nil {
 		r.failed(w, err)
 		return
 	}
-	if got.Code == ledger.OK {
+	if got.Code == statemachine.OK {
 		r.e.Log.Emit(event.Proposed, "trial", got.Number, "version", got.Version, "who", who(req), "paths", fmt.Sprint(c.Paths))
 	}
 	answerOrder(w, got, c.Paths)
 }
 
 // trialBody shows a trial with the figures that decided, or those so far.
-func (r *Registry) trialBody(ctx context.Context, t ledger.Trial, doc []byte, version uint64) map[string]any {
+func (r *Registry) trialBody(ctx context.Context, t statemachine.Trial, doc []byte, version uint64) map[string]any {
 	out := map[string]any{"trial": t}
-	if t.State != ledger.Running {
+	if t.State != statemachine.Running {
 		var facts any
 		if json.Unmarshal(t.Facts, &facts) == nil {
 			out["figures"] = facts
@@ -158,7 +158,7 @@
 	raw := chi.URLParam(req, "id")
 	if raw == "" {
 		if now.Trials == nil {
-			now.Trials = []ledger.Trial{}
+			now.Trials = []statemachine.Trial{}
 		}
 		outer.JSON(w, http.StatusOK, map[string]any{"version": now.Version, "trials": now.Trials})
 		return
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -3,9 +3,9 @@
 package session
 
 import (
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/member"
 	"puffincrank/internal/patch"
+	"puffincrank/internal/statemachine"
 )
 
 // Beat renews a proxy's session with one control node.
@@ -84,17 +84,17 @@
 
 // Share is a control node's word on its sessions to the others.
 type Share struct {
-	From member.Fellow   `msgpack:"f"`
-	Hash uint64          `msgpack:"h"`
-	List []member.Fellow `msgpack:"l,omitempty"`
-	Full bool            `msgpack:"u"`
-	Core []ledger.Member `msgpack:"c,omitempty"`
-	Diff bool            `msgpack:"d,omitempty"` // Come and Gone lead from the list with hash Base to Hash
-	Base uint64          `msgpack:"b,omitempty"`
-	Come []member.Fellow `msgpack:"w,omitempty"`
-	Gone []string        `msgpack:"g,omitempty"`
-	Met  uint64          `msgpack:"m,omitempty"` // names the control nodes that From hears
-	Pack []byte          `msgpack:"z,omitempty"` // List, or Come and Gone, in their short form
+	From member.Fellow         `msgpack:"f"`
+	Hash uint64                `msgpack:"h"`
+	List []member.Fellow       `msgpack:"l,omitempty"`
+	Full bool                  `msgpack:"u"`
+	Core []statemachine.Member `msgpack:"c,omitempty"`
+	Diff bool                  `msgpack:"d,omitempty"` // Come and Gone lead from the list with hash Base to Hash
+	Base uint64                `msgpack:"b,omitempty"`
+	Come []member.Fellow       `msgpack:"w,omitempty"`
+	Gone []string              `msgpack:"g,omitempty"`
+	Met  uint64                `msgpack:"m,omitempty"` // names the control nodes that From hears
+	Pack []byte                `msgpack:"z,omitempty"` // List, or Come and Gone, in their short form
 }
 
 // ShareBack asks for more when the hash is not known: for what differs from
--- a/internal/sim/numberrace_test.go
+++ b/internal/sim/numberrace_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // numberRace is one race of orders under one number.
@@ -176,5 +176,5 @@
 // sameJSON tells whether an answer is a document, whatever the order of fields.
 func sameJSON(doc string, got map[string]any) bool {
 	raw, err := json.Marshal(got)
-	return err == nil && bytes.Equal(ledger.DocumentDigest([]byte(doc)), ledger.DocumentDigest(raw))
+	return err == nil && bytes.Equal(statemachine.DocumentDigest([]byte(doc)), statemachine.DocumentDigest(raw))
 }
--- a/internal/ledger/command.go
+++ b/internal/statemachine/command.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 import (
 	"bytes"
@@ -9,31 +9,31 @@
 	"puffincrank/internal/patch"
 )
 
-// Receipt is what a command or a read gives back.
-type Receipt struct {
-	Code    string       `msgpack:"c"` // ok, or why nothing changed
-	Say     string       `msgpack:"s,omitempty"`
-	Version uint64       `msgpack:"v,omitempty"`
-	Rev     uint64       `msgpack:"r,omitempty"`
-	Number  uint64       `msgpack:"n,omitempty"`
-	Key     *Key         `msgpack:"k,omitempty"`
-	Lock    *Lock        `msgpack:"l,omitempty"`
-	Doc     []byte       `msgpack:"d,omitempty"`
-	Names   []string     `msgpack:"a,omitempty"`
-	Changes []Change     `msgpack:"h,omitempty"`
-	Configs []Config     `msgpack:"g,omitempty"`
-	Steps   []patch.Step `msgpack:"p,omitempty"` // in the place of Doc, from the version that the asker has
-	Trials  []Trial      `msgpack:"t,omitempty"`
-	Locks   map[string]Lock
-	Earlier *Answered `msgpack:"q,omitempty"` // an answered request
+// Result is what a command or a read gives back.
+type Result struct {
+	Code     string       `msgpack:"c"` // ok, or why nothing changed
+	Message  string       `msgpack:"s,omitempty"`
+	Version  uint64       `msgpack:"v,omitempty"`
+	Revision uint64       `msgpack:"r,omitempty"`
+	Number   uint64       `msgpack:"n,omitempty"`
+	Key      *Key         `msgpack:"k,omitempty"`
+	Lock     *Lock        `msgpack:"l,omitempty"`
+	Doc      []byte       `msgpack:"d,omitempty"`
+	Names    []string     `msgpack:"a,omitempty"`
+	Changes  []Change     `msgpack:"h,omitempty"`
+	Configs  []Config     `msgpack:"g,omitempty"`
+	Steps    []patch.Step `msgpack:"p,omitempty"` // in the place of Doc, from the version that the asker has
+	Trials   []Trial      `msgpack:"t,omitempty"`
+	Locks    map[string]Lock
+	Earlier  *Answered `msgpack:"q,omitempty"` // an answered request
 }
 
-// The codes of a receipt.
+// The codes of a result.
 const (
 	OK       = "ok"
 	Conflict = "conflict" // the base, revision or owner is not what stands
 	Absent   = "absent"
-	Fenced   = "fenced" // the writer's ballot is below one already seen
+	Fenced   = "fenced" // the leader's ballot is below one already seen
 	Gone     = "gone"   // the history does not reach back so far
 	Wrong    = "wrong"
 	Full     = "full"   // nothing was done for want of room
@@ -41,34 +41,34 @@
 )
 
 // Command changes the state.
-type Command interface{ Apply(s *State) Receipt }
+type Command interface{ Apply(s *State) Result }
 
 // KindRequest is the stored name of a Request.
 const KindRequest = "request.once"
 
-// kinds names every command for the stored batch. A name is never re-used.
-var kinds = map[string]func() Command{
+// commandKinds names every command for the stored batch. A name is never re-used.
+var commandKinds = map[string]func() Command{
 	KindRequest:     func() Command { return &Request{} },
 	"level.raise":   func() Command { return &RaiseLevel{} },
-	"request.trim":  func() Command { return &TrimRequests{} },
+	"request.trim":  func() Command { return &CompactRequests{} },
 	"noop":          func() Command { return &Noop{} },
 	"config.set":    func() Command { return &SetConfig{} },
 	"config.step":   func() Command { return &StepConfig{} },
 	"config.number": func() Command { return &NumberConfig{} },
-	"cell.put":      func() Command { return &PutCell{} },
-	"cell.trim":     func() Command { return &TrimPuts{} },
+	"cell.put":      func() Command { return &PutGroupKey{} },
+	"cell.trim":     func() Command { return &CompactPuts{} },
 	"key.put":       func() Command { return &PutKey{} },
 	"key.delete":    func() Command { return &DeleteKey{} },
-	"history.trim":  func() Command { return &TrimPast{} },
+	"history.trim":  func() Command { return &CompactChanges{} },
 	"number.next":   func() Command { return &NextNumber{} },
-	"lock.take":     func() Command { return &TakeLock{} },
-	"lock.free":     func() Command { return &FreeLock{} },
+	"lock.take":     func() Command { return &AcquireLock{} },
+	"lock.free":     func() Command { return &ReleaseLock{} },
 	"lock.expire":   func() Command { return &ExpireLock{} },
-	"duty.fence":    func() Command { return &FenceDuty{} },
-	"store.replace": func() Command { return &ReplaceStore{} },
-	"store.remove":  func() Command { return &RemoveStore{} },
-	"store.add":     func() Command { return &AddStore{} },
-	"store.want":    func() Command { return &WantStores{} },
+	"duty.fence":    func() Command { return &FenceRole{} },
+	"store.replace": func() Command { return &ReplaceMember{} },
+	"store.remove":  func() Command { return &RemoveMember{} },
+	"store.add":     func() Command { return &AddMember{} },
+	"store.want":    func() Command { return &SetVoterCount{} },
 	"trial.propose": func() Command { return &Propose{} },
 	"trial.decide":  func() Command { return &Decide{} },
 }
@@ -87,7 +87,7 @@
 
 // Open reads a command back; an unknown kind is an error by name.
 func (p Packed) Open() (Command, error) {
-	make := kinds[p.Kind]
+	make := commandKinds[p.Kind]
 	if make == nil {
 		return nil, fault.New(fault.Input, "command %q is not known here", p.Kind)
 	}
@@ -112,7 +112,7 @@
 
 // Apply runs a stored batch. A command that this program does not know would
 // let replicas drift apart, so it is an error that stops the replica.
-func (s *State) Apply(raw []byte) ([]Command, []Receipt, error) {
+func (s *State) Apply(raw []byte) ([]Command, []Result, error) {
 	var b Batch
 	if err := msgpack.Unmarshal(raw, &b); err != nil {
 		return nil, nil, fault.Wrap(fault.Input, err, "read batch")
@@ -125,7 +125,7 @@
 		}
 		cmds[i] = c
 	}
-	out := make([]Receipt, len(b))
+	out := make([]Result, len(b))
 	for i, c := range cmds {
 		out[i] = c.Apply(s)
 	}
@@ -140,16 +140,16 @@
 	return b.Bytes(), err
 }
 
-// Noop changes nothing; a new writer begins with one.
+// Noop changes nothing; a new leader begins with one.
 type Noop struct{}
 
 // Apply does nothing.
-func (*Noop) Apply(*State) Receipt { return Receipt{Code: OK} }
+func (*Noop) Apply(*State) Result { return Result{Code: OK} }
 
 // Kinds gives an empty command of each kind by name.
 func Kinds() map[string]Command {
 	out := map[string]Command{}
-	for n, f := range kinds {
+	for n, f := range commandKinds {
 		out[n] = f()
 	}
 	return out
--- a/internal/ledger/config.go
+++ b/internal/statemachine/config.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 import (
 	"fmt"
@@ -17,21 +17,21 @@
 
 // Apply sets the configuration if its base is what stands. Running trials end
 // with an emergency: they compared paths of a document that is gone.
-func (c *SetConfig) Apply(s *State) Receipt {
+func (c *SetConfig) Apply(s *State) Result {
 	now := s.Config()
 	if c.Base != now.Version {
-		return Receipt{Code: Conflict, Version: now.Version, Say: fmt.Sprintf("based on version %d, but %d stands", c.Base, now.Version)}
+		return Result{Code: Conflict, Version: now.Version, Message: fmt.Sprintf("based on version %d, but %d stands", c.Base, now.Version)}
 	}
 	for _, t := range s.Trials {
 		if t.State == Running && !c.Now {
-			return Receipt{Code: Conflict, Version: now.Version, Say: fmt.Sprintf("trial %d runs: wait, abort it, or apply as an emergency", t.ID)}
+			return Result{Code: Conflict, Version: now.Version, Message: fmt.Sprintf("trial %d runs: wait, abort it, or apply as an emergency", t.ID)}
 		}
 	}
-	return s.whole(Config{Version: now.Version + 1, Doc: c.Doc, Who: c.Who, Why: c.Why})
+	return s.setWhole(Config{Version: now.Version + 1, Doc: c.Doc, Who: c.Who, Why: c.Why})
 }
 
-// whole puts a document in force as it was sent; running trials end.
-func (s *State) whole(c Config) Receipt {
+// setWhole puts a document in force as it was sent; running trials end.
+func (s *State) setWhole(c Config) Result {
 	c.Sent = true
 	s.putConfig(c)
 	for i := range s.Trials {
@@ -40,7 +40,7 @@
 			s.Trials[i].End = c.Version
 		}
 	}
-	return Receipt{Code: OK, Version: c.Version}
+	return Result{Code: OK, Version: c.Version}
 }
 
 // NumberConfig puts a whole configuration in force under the operator's own
@@ -54,11 +54,11 @@
 
 // Apply sets the configuration if its number is the highest. One that is not
 // is acknowledged all the same: it is overtaken, or was sent again.
-func (c *NumberConfig) Apply(s *State) Receipt {
+func (c *NumberConfig) Apply(s *State) Result {
 	if now := s.Config().Version; c.Number <= now {
-		return Receipt{Code: OK, Version: now, Say: "not above the version that stands"}
+		return Result{Code: OK, Version: now, Message: "not above the version that stands"}
 	}
-	return s.whole(Config{Version: c.Number, Doc: c.Doc, Who: c.Who, Why: c.Why})
+	return s.setWhole(Config{Version: c.Number, Doc: c.Doc, Who: c.Who, Why: c.Why})
 }
 
 // The states of a trial.
@@ -97,31 +97,31 @@
 }
 
 // Apply begins the trial as a new version.
-func (c *Propose) Apply(s *State) Receipt {
+func (c *Propose) Apply(s *State) Result {
 	now := s.Config()
 	if c.Base != now.Version {
-		return Receipt{Code: Conflict, Version: now.Version, Say: fmt.Sprintf("based on version %d, but %d stands", c.Base, now.Version)}
+		return Result{Code: Conflict, Version: now.Version, Message: fmt.Sprintf("based on version %d, but %d stands", c.Base, now.Version)}
 	}
 	for _, t := range s.Trials {
-		if t.State == Running && meet(t.Paths, c.Paths) {
-			return Receipt{Code: Conflict, Version: now.Version, Say: fmt.Sprintf("trial %d runs on the same path", t.ID)}
+		if t.State == Running && overlap(t.Paths, c.Paths) {
+			return Result{Code: Conflict, Version: now.Version, Message: fmt.Sprintf("trial %d runs on the same path", t.ID)}
 		}
 	}
 	// The document names the trial, so it must be the next one.
-	if c.ID != s.Tries+1 {
-		return Receipt{Code: Conflict, Version: now.Version, Say: "another trial was proposed"}
+	if c.ID != s.TrialsBegun+1 {
+		return Result{Code: Conflict, Version: now.Version, Message: "another trial was proposed"}
 	}
-	s.Tries++
-	got := s.setConfig(c.Doc, c.Who, fmt.Sprintf("trial %d proposed", s.Tries))
-	s.Trials = append(s.Trials, Trial{ID: s.Tries, State: Running, Paths: c.Paths, Slice: c.Slice,
+	s.TrialsBegun++
+	got := s.setConfig(c.Doc, c.Who, fmt.Sprintf("trial %d proposed", s.TrialsBegun))
+	s.Trials = append(s.Trials, Trial{ID: s.TrialsBegun, State: Running, Paths: c.Paths, Slice: c.Slice,
 		Begin: got.Version, Who: c.Who, Next: c.Next})
-	if len(s.Trials) > History {
-		s.Trials = append([]Trial(nil), s.Trials[len(s.Trials)-History:]...)
+	if len(s.Trials) > maxConfigs {
+		s.Trials = append([]Trial(nil), s.Trials[len(s.Trials)-maxConfigs:]...)
 	}
-	return Receipt{Code: OK, Version: got.Version, Number: s.Tries}
+	return Result{Code: OK, Version: got.Version, Number: s.TrialsBegun}
 }
 
-func meet(a, b []string) bool {
+func overlap(a, b []string) bool {
 	for _, x := range a {
 		for _, y := range b {
 			if x == y {
@@ -134,27 +134,27 @@
 
 // Decide ends a trial by the judge's word: Doc is the configuration after it.
 type Decide struct {
-	ID    uint64        `msgpack:"i"`
-	Num   ballot.Number `msgpack:"n"`
-	Base  uint64        `msgpack:"b"`
-	Doc   []byte        `msgpack:"d"`
-	State string        `msgpack:"s"`
-	Why   string        `msgpack:"y"`
-	Who   string        `msgpack:"w"`
-	Facts []byte        `msgpack:"f"`
+	ID     uint64        `msgpack:"i"`
+	Ballot ballot.Number `msgpack:"n"`
+	Base   uint64        `msgpack:"b"`
+	Doc    []byte        `msgpack:"d"`
+	State  string        `msgpack:"s"`
+	Why    string        `msgpack:"y"`
+	Who    string        `msgpack:"w"`
+	Facts  []byte        `msgpack:"f"`
 }
 
 // Apply ends the trial once; a second decision finds it ended.
-func (c *Decide) Apply(s *State) Receipt {
+func (c *Decide) Apply(s *State) Result {
 	// An operator's abort carries no ballot and is not fenced.
-	if c.Num.Round > 0 {
-		if r := s.fence("judge", c.Num); r.Code != OK {
+	if c.Ballot.Round > 0 {
+		if r := s.fenceRole("judge", c.Ballot); r.Code != OK {
 			return r
 		}
 	}
 	now := s.Config()
 	if c.Base != now.Version {
-		return Receipt{Code: Conflict, Version: now.Version, Say: "another version stands"}
+		return Result{Code: Conflict, Version: now.Version, Message: "another version stands"}
 	}
 	for i := range s.Trials {
 		t := &s.Trials[i]
@@ -162,11 +162,11 @@
 			continue
 		}
 		if t.State != Running {
-			return Receipt{Code: Conflict, Version: now.Version, Say: "the trial has ended: " + t.State}
+			return Result{Code: Conflict, Version: now.Version, Message: "the trial has ended: " + t.State}
 		}
 		got := s.setConfig(c.Doc, c.Who, fmt.Sprintf("trial %d %s: %s", c.ID, c.State, c.Why))
 		t.State, t.Why, t.Facts, t.End = c.State, c.Why, c.Facts, got.Version
-		return Receipt{Code: OK, Version: got.Version}
+		return Result{Code: OK, Version: got.Version}
 	}
-	return Receipt{Code: Absent, Say: "no such trial"}
+	return Result{Code: Absent, Message: "no such trial"}
 }
--- a/internal/ledger/cells_test.go
+++ b/internal/statemachine/groupkeys_test.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 import (
 	"fmt"
@@ -31,14 +31,14 @@
 		revs := map[string]uint64{}  // group to its revision
 		now := map[string]put{}      // key to what it holds
 		given := map[string]uint64{} // key and value to the first revision
-		var sent []PutCell           // what may be sent again
+		var sent []PutGroupKey       // what may be sent again
 		trimmed := 0
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			var c PutCell
+			var c PutGroupKey
 			switch op := rapid.IntRange(0, 9).Draw(t, "op"); {
 			case op == 0:
 				n := rapid.IntRange(0, len(all)).Draw(t, "to")
-				(&TrimPuts{To: uint64(n)}).Apply(s)
+				(&CompactPuts{To: uint64(n)}).Apply(s)
 				trimmed = max(trimmed, n)
 				continue
 			case op == 1:
@@ -53,13 +53,13 @@
 			case op < 5 && len(sent) > 0:
 				c = sent[rapid.IntRange(0, len(sent)-1).Draw(t, "again")]
 			default:
-				c = PutCell{Name: rapid.SampledFrom([]string{"a.1", "a.2", "b.1", "c"}).Draw(t, "name"), Value: fmt.Append(nil, "v", i)}
+				c = PutGroupKey{Name: rapid.SampledFrom([]string{"a.1", "a.2", "b.1", "c"}).Draw(t, "name"), Value: fmt.Append(nil, "v", i)}
 				if c.If = rapid.Bool().Draw(t, "if"); c.If {
-					c.Rev = rapid.Uint64Range(0, 6).Draw(t, "rev")
+					c.Revision = rapid.Uint64Range(0, 6).Draw(t, "rev")
 				}
 				sent = append(sent, c)
 			}
-			id, g := known(c.Name, c.Value), GroupOf(c.Name)
+			id, g := putID(c.Name, c.Value), GroupOf(c.Name)
 			old, had := now[c.Name]
 			got := c.Apply(s)
 			// A value that was trimmed and holds no longer may count as new.
@@ -69,23 +69,23 @@
 			}
 			switch first := given[id]; {
 			case first > 0 && !lost:
-				if got.Code != OK || got.Rev != first {
+				if got.Code != OK || got.Revision != first {
 					t.Fatalf("sent again: %v, first at %d", got, first)
 				}
-			case c.If && old.rev != c.Rev:
-				if got.Code != Conflict || got.Rev != old.rev || (got.Rev == 0) == had {
-					t.Fatalf("condition on %d, but it is at %d: %v", c.Rev, old.rev, got)
+			case c.If && old.rev != c.Revision:
+				if got.Code != Conflict || got.Revision != old.rev || (got.Revision == 0) == had {
+					t.Fatalf("condition on %d, but it is at %d: %v", c.Revision, old.rev, got)
 				}
 			default:
-				if got.Code != OK || got.Rev != revs[g]+1 {
+				if got.Code != OK || got.Revision != revs[g]+1 {
 					t.Fatalf("%v after %d", got, revs[g])
 				}
-				revs[g] = got.Rev
-				p := put{c.Name, string(c.Value), got.Rev}
-				now[c.Name], given[id] = p, got.Rev
+				revs[g] = got.Revision
+				p := put{c.Name, string(c.Value), got.Revision}
+				now[c.Name], given[id] = p, got.Revision
 				all = append(all, p)
 			}
-			if k := s.Read("cell", c.Name, 0); now[c.Name].rev > 0 && (k.Rev != now[c.Name].rev || string(k.Key.Value) != now[c.Name].value) {
+			if k := s.Read("cell", c.Name, 0); now[c.Name].rev > 0 && (k.Revision != now[c.Name].rev || string(k.Key.Value) != now[c.Name].value) {
 				t.Fatalf("%s reads %v, want %v", c.Name, k, now[c.Name])
 			}
 		}
@@ -104,7 +104,7 @@
 					t.Fatalf("%s after %d: %v %d %v, want %v", g, after, got, m, ok, want)
 				}
 				for i := range got {
-					if got[i].Rev != want[i].rev || got[i].Name != want[i].name || string(got[i].Value) != want[i].value {
+					if got[i].Revision != want[i].rev || got[i].Name != want[i].name || string(got[i].Value) != want[i].value {
 						t.Fatalf("%s after %d: %v, want %v", g, after, got, want)
 					}
 				}
@@ -118,15 +118,15 @@
 	s := New("m", nil)
 	n := 0
 	for ; n < 1000; n++ {
-		if r := (&PutCell{Name: "g.k", Value: fmt.Appendf(make([]byte, 64<<10), "%d", n)}).Apply(s); r.Code == Full {
+		if r := (&PutGroupKey{Name: "g.k", Value: fmt.Appendf(make([]byte, 64<<10), "%d", n)}).Apply(s); r.Code == Full {
 			break
 		}
 	}
-	if n < 32 || n >= 1000 || s.Groups["g."].Rev != uint64(n) {
+	if n < 32 || n >= 1000 || s.Groups["g."].Revision != uint64(n) {
 		t.Fatalf("full after %d puts, at %v", n, s.Groups["g."])
 	}
-	(&TrimPuts{To: 5}).Apply(s)
-	if r := (&PutCell{Name: "g.k", Value: []byte("x")}).Apply(s); r.Code != OK || r.Rev != uint64(n+1) {
+	(&CompactPuts{To: 5}).Apply(s)
+	if r := (&PutGroupKey{Name: "g.k", Value: []byte("x")}).Apply(s); r.Code != OK || r.Revision != uint64(n+1) {
 		t.Error(r)
 	}
 }
@@ -139,7 +139,7 @@
 		top, doc := uint64(0), ""
 		for i := range rapid.IntRange(1, 15).Draw(t, "steps") {
 			n := rapid.Uint64Range(1, 200).Draw(t, "number")
-			d := fmt.Sprint("d", i, string(make([]byte, rapid.SampledFrom([]int{0, 1000, Room / 3, 2 * Room}).Draw(t, "size"))))
+			d := fmt.Sprint("d", i, string(make([]byte, rapid.SampledFrom([]int{0, 1000, maxConfigBytes / 3, 2 * maxConfigBytes}).Draw(t, "size"))))
 			got := (&NumberConfig{Number: n, Doc: []byte(d)}).Apply(s)
 			if n > top {
 				top, doc = n, d
@@ -147,14 +147,14 @@
 			if got.Code != OK || got.Version != top || s.Config().Version != top {
 				t.Fatalf("%d sent, %d stands: %v", n, top, got)
 			}
-			if c, ok := s.Sent(); !ok || string(c.Doc) != doc {
+			if c, ok := s.NewestSent(); !ok || string(c.Doc) != doc {
 				t.Fatal("what was sent is not what is kept")
 			}
 			size := 0
 			for _, c := range s.Configs[:len(s.Configs)-1] {
 				size += len(c.Doc)
 			}
-			if size > Room || len(s.Configs) > History {
+			if size > maxConfigBytes || len(s.Configs) > maxConfigs {
 				t.Fatalf("%d bytes in %d older documents", size, len(s.Configs)-1)
 			}
 		}
@@ -168,7 +168,7 @@
 	if r := (&Propose{ID: 1, Base: 10, Doc: []byte("b"), Paths: []string{"p"}}).Apply(s); r.Version != 11 {
 		t.Fatal(r)
 	}
-	if c, _ := s.Sent(); string(c.Doc) != "a" {
+	if c, _ := s.NewestSent(); string(c.Doc) != "a" {
 		t.Errorf("sent is %q while a trial runs", c.Doc)
 	}
 	if r := (&NumberConfig{Number: 20, Doc: []byte("c")}).Apply(s); r.Version != 20 || s.Trials[0].State != Dropped || s.Trials[0].End != 20 {
--- a/internal/ledger/level.go
+++ b/internal/statemachine/level.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 // Level is what this program understands of the commands, told with each ack; a
 // program that tells none has 0. A command of a level is proposed only when all
@@ -17,7 +17,7 @@
 }
 
 // Apply raises the level; it never falls.
-func (c *RaiseLevel) Apply(s *State) Receipt {
+func (c *RaiseLevel) Apply(s *State) Result {
 	s.Level = max(s.Level, c.To)
-	return Receipt{Code: OK}
+	return Result{Code: OK}
 }
--- a/internal/ledger/request.go
+++ b/internal/statemachine/request.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 import (
 	"bytes"
@@ -15,9 +15,9 @@
 
 // Answered is an operator's request that was taken, with its first answer.
 type Answered struct {
-	ID      string  `msgpack:"i"`
-	Digest  []byte  `msgpack:"d"` // of the content that was sent under the id
-	Receipt Receipt `msgpack:"r"`
+	ID      string `msgpack:"i"`
+	Digest  []byte `msgpack:"d"` // of the content that was sent under the id
+	Receipt Result `msgpack:"r"`
 }
 
 // Request is a command that its sender may send again after a lost answer: the
@@ -49,12 +49,12 @@
 // Apply runs the command inside, unless its answer is known already. Only what
 // was done is remembered: what was turned away left no trace, so it may be
 // tried again when the reason has gone.
-func (c *Request) Apply(s *State) Receipt {
+func (c *Request) Apply(s *State) Result {
 	if old, ok := s.Answered(c.ID); ok {
 		return old.Repeat(c.Digest)
 	}
 	if c.Number > 0 && s.otherUnder(c.Number, c.Digest) {
-		return Receipt{Code: Reused, Version: s.Config().Version, Say: fmt.Sprintf("version %d stands with another content", c.Number)}
+		return Result{Code: Reused, Version: s.Config().Version, Message: fmt.Sprintf("version %d stands with another content", c.Number)}
 	}
 	got := c.inner.Apply(s)
 	if got.Code == OK {
@@ -64,11 +64,11 @@
 }
 
 // Repeat gives the first answer again to whoever sends the same content.
-func (a Answered) Repeat(digest []byte) Receipt {
+func (a Answered) Repeat(digest []byte) Result {
 	if bytes.Equal(a.Digest, digest) {
 		return a.Receipt
 	}
-	return Receipt{Code: Reused, Version: a.Receipt.Version, Say: "another content was taken under this request id or number"}
+	return Result{Code: Reused, Version: a.Receipt.Version, Message: "another content was taken under this request id or number"}
 }
 
 // otherUnder tells whether the configuration that stands has this very number
@@ -110,16 +110,16 @@
 // TotalRequests counts the requests that were ever answered.
 func (s *State) TotalRequests() uint64 { return s.Forgotten + uint64(len(s.Requests)) }
 
-// TrimRequests forgets the oldest answered requests. The leader proposes it
+// CompactRequests forgets the oldest answered requests. The leader proposes it
 // from its own count of time, so that Apply needs no clock.
-type TrimRequests struct {
+type CompactRequests struct {
 	To uint64 `msgpack:"t"` // how many requests, counted from the first ever, are old enough
 }
 
 // Apply forgets them.
-func (c *TrimRequests) Apply(s *State) Receipt {
+func (c *CompactRequests) Apply(s *State) Result {
 	s.forget(c.To)
-	return Receipt{Code: OK}
+	return Result{Code: OK}
 }
 
 // NumberRequestID is the request id of a configuration under the operator's own
--- a/internal/ledger/state.go
+++ b/internal/statemachine/state.go
@@ -1,6 +1,6 @@
-// Package ledger is the state that the stores agree on, and the commands that
+// Package statemachine is the state that the stores agree on, and the commands that
 // change it. Commands are types with Apply: deterministic, without clocks.
-package ledger
+package statemachine
 
 import (
 	"slices"
@@ -14,10 +14,10 @@
 
 // Member is one store that votes.
 type Member struct {
-	ID   string `msgpack:"i" json:"id"`
-	Addr string `msgpack:"a" json:"addr"`
-	Area string `msgpack:"z,omitempty" json:"area,omitempty"`
-	Land string `msgpack:"l,omitempty" json:"region,omitempty"` // the region of the area
+	ID     string `msgpack:"i" json:"id"`
+	Addr   string `msgpack:"a" json:"addr"`
+	Zone   string `msgpack:"z,omitempty" json:"area,omitempty"`
+	Region string `msgpack:"l,omitempty" json:"region,omitempty"` // the region of the area
 }
 
 // Config is one version of the configuration and why it stands.
@@ -31,74 +31,74 @@
 
 // Key is one small key.
 type Key struct {
-	Value []byte `msgpack:"v" json:"value"`
-	Made  uint64 `msgpack:"m" json:"made"`
-	Rev   uint64 `msgpack:"r" json:"rev"`
+	Value           []byte `msgpack:"v" json:"value"`
+	CreatedRevision uint64 `msgpack:"m" json:"made"`
+	Revision        uint64 `msgpack:"r" json:"rev"`
 }
 
 // Change is one step in the history of keys, as watches see it.
 type Change struct {
-	Rev   uint64 `msgpack:"r" json:"rev"`
-	Name  string `msgpack:"n" json:"key"`
-	Value []byte `msgpack:"v" json:"value,omitempty"`
-	Gone  bool   `msgpack:"g" json:"gone,omitempty"`
+	Revision uint64 `msgpack:"r" json:"rev"`
+	Name     string `msgpack:"n" json:"key"`
+	Value    []byte `msgpack:"v" json:"value,omitempty"`
+	Deleted  bool   `msgpack:"g" json:"gone,omitempty"`
 }
 
 // Lock is one lock that is held.
 type Lock struct {
-	Owner string `msgpack:"o" json:"owner"`
-	Fence uint64 `msgpack:"f" json:"fence"`
-	TTL   int64  `msgpack:"t" json:"ttl_ms"`
-	Renew uint64 `msgpack:"r" json:"renewals"`
+	Owner    string `msgpack:"o" json:"owner"`
+	Fence    uint64 `msgpack:"f" json:"fence"`
+	TTL      int64  `msgpack:"t" json:"ttl_ms"`
+	Renewals uint64 `msgpack:"r" json:"renewals"`
 }
 
 // State is all that the stores agree on.
 type State struct {
-	Mesh    string                   `msgpack:"mesh"`
-	Members []Member                 `msgpack:"members"`
-	Configs []Config                 `msgpack:"configs"`
-	Rev     uint64                   `msgpack:"rev"`
-	Keys    map[string]Key           `msgpack:"keys"`
-	Past    []Change                 `msgpack:"past"`
-	Oldest  uint64                   `msgpack:"oldest"` // the first revision whose change is kept
-	Locks   map[string]Lock          `msgpack:"locks"`
-	Fence   uint64                   `msgpack:"fence"`
-	Numbers map[string]uint64        `msgpack:"numbers"`
-	Duties  map[string]ballot.Number `msgpack:"duties"`
-	Trials  []Trial                  `msgpack:"trials"`
-	Tries   uint64                   `msgpack:"tries"`
-	Want    int                      `msgpack:"want,omitempty"` // stores that shall vote; 0 for three
-	Cells   map[string]Cell          `msgpack:"cells"`
-	Groups  map[string]Group         `msgpack:"groups"`
-	Puts    []Put                    `msgpack:"puts"`
-	Trimmed uint64                   `msgpack:"trimmed"` // puts that are no longer kept
+	ClusterID      string                   `msgpack:"mesh"`
+	Members        []Member                 `msgpack:"members"`
+	Configs        []Config                 `msgpack:"configs"`
+	Revision       uint64                   `msgpack:"rev"`
+	Keys           map[string]Key           `msgpack:"keys"`
+	Changes        []Change                 `msgpack:"past"`
+	OldestRevision uint64                   `msgpack:"oldest"` // the first revision whose change is kept
+	Locks          map[string]Lock          `msgpack:"locks"`
+	Fence          uint64                   `msgpack:"fence"`
+	Numbers        map[string]uint64        `msgpack:"numbers"`
+	Roles          map[string]ballot.Number `msgpack:"duties"`
+	Trials         []Trial                  `msgpack:"trials"`
+	TrialsBegun    uint64                   `msgpack:"tries"`
+	WantedMembers  int                      `msgpack:"want,omitempty"` // stores that shall vote; 0 for three
+	GroupKeys      map[string]GroupKey      `msgpack:"cells"`
+	Groups         map[string]Group         `msgpack:"groups"`
+	Puts           []Put                    `msgpack:"puts"`
+	CompactedPuts  uint64                   `msgpack:"trimmed"` // puts that are no longer kept
 
 	Requests  []Answered `msgpack:"requests,omitempty"`  // operators' requests that were taken, the oldest first
 	Forgotten uint64     `msgpack:"forgotten,omitempty"` // answered requests that are no longer kept
 	Level     int        `msgpack:"level,omitempty"`     // of commands, that every member has known once
 
-	answers map[string]uint64 // request id to its place in the row of all answered ones
-	size    int               // bytes of the puts that are kept
-	first   map[string]uint64 // key and value to the revision that it first got, of the puts kept
-	rows    map[string][]Put  // the puts kept, by group
+	answers        map[string]uint64 // request id to its place in the row of all answered ones
+	size           int               // bytes of the puts that are kept
+	firstRevisions map[string]uint64 // key and value to the revision that it first got, of the puts kept
+	putsByGroup    map[string][]Put  // the puts kept, by group
 }
 
-// History bounds how many configurations are kept, and Room how many bytes
-// they may have together: every checkpoint holds them whole. The newest one,
+// maxConfigs bounds how many configurations are kept, and maxConfigBytes how many bytes
+// they may have together: every snapshot holds them whole. The newest one,
 // and the newest that an operator sent, are kept whatever their size.
 const (
-	History = 64
-	Room    = 1 << 20
+	maxConfigs     = 64
+	maxConfigBytes = 1 << 20
 )
 
-// New makes the state of a mesh that was just founded.
+// New makes the state of a cluster that was just founded.
 func New(mesh string, members []Member) *State {
-	return &State{Mesh: mesh, Members: members, Oldest: 1, Keys: map[string]Key{}, Locks: map[string]Lock{},
-		Numbers: map[string]uint64{}, Duties: map[string]ballot.Number{}, Cells: map[string]Cell{}, Groups: map[string]Group{},
-		first: map[string]uint64{}, rows: map[string][]Put{}, answers: map[string]uint64{}}
+	return &State{ClusterID: mesh, Members: members, OldestRevision: 1, Keys: map[string]Key{}, Locks: map[string]Lock{},
+		Numbers: map[string]uint64{}, Roles: map[string]ballot.Number{}, GroupKeys: map[string]GroupKey{}, Groups: map[string]Group{},
+		firstRevisions: map[string]uint64{}, putsByGroup: map[string][]Put{}, answers: map[string]uint64{}}
 }
 
-// Load reads a state from a checkpoint. One that was raised to a level of commands
+// Load reads a state from a snapshot. One that was raised to a level of commands
 // that this program does not know is refused: it may hold what would be lost here.
 func Load(b []byte) (*State, error) {
 	s := New("", nil)
@@ -117,7 +117,7 @@
 	return s, nil
 }
 
-// Pack writes the state for a checkpoint; maps are sorted, so that equal
+// Pack writes the state for a snapshot; maps are sorted, so that equal
 // states give equal bytes.
 func (s *State) Pack() ([]byte, error) {
 	b, err := packed(s)
@@ -145,7 +145,7 @@
 		c := s.Configs[i]
 		size += len(c.Doc)
 		need := i == len(s.Configs)-1 || c.Sent && !sent
-		if need || size <= Room && len(keep) < History {
+		if need || size <= maxConfigBytes && len(keep) < maxConfigs {
 			keep = append(keep, c)
 		}
 		sent = sent || c.Sent
@@ -155,8 +155,8 @@
 	return c
 }
 
-// Sent gives the newest document that an operator sent, false when there is none.
-func (s *State) Sent() (Config, bool) {
+// NewestSent gives the newest document that an operator sent, false when there is none.
+func (s *State) NewestSent() (Config, bool) {
 	for i := len(s.Configs) - 1; i >= 0; i-- {
 		if s.Configs[i].Sent {
 			return s.Configs[i], true
@@ -166,29 +166,29 @@
 }
 
 func (s *State) change(name string, value []byte, gone bool) {
-	s.Rev++
-	s.Past = append(s.Past, Change{Rev: s.Rev, Name: name, Value: value, Gone: gone})
+	s.Revision++
+	s.Changes = append(s.Changes, Change{Revision: s.Revision, Name: name, Value: value, Deleted: gone})
 	if gone {
 		delete(s.Keys, name)
 		return
 	}
 	k := s.Keys[name]
-	if k.Made == 0 {
-		k.Made = s.Rev
+	if k.CreatedRevision == 0 {
+		k.CreatedRevision = s.Revision
 	}
-	k.Value, k.Rev = value, s.Rev
+	k.Value, k.Revision = value, s.Revision
 	s.Keys[name] = k
 }
 
 // Since gives the changes of a prefix from a revision on, at most most; false
 // means that the history no longer reaches back so far.
 func (s *State) Since(prefix string, from uint64, most int) ([]Change, bool) {
-	if from < s.Oldest {
+	if from < s.OldestRevision {
 		return nil, false
 	}
 	var out []Change
-	at := sort.Search(len(s.Past), func(i int) bool { return s.Past[i].Rev >= from })
-	for _, c := range s.Past[at:] {
+	at := sort.Search(len(s.Changes), func(i int) bool { return s.Changes[i].Revision >= from })
+	for _, c := range s.Changes[at:] {
 		if len(c.Name) >= len(prefix) && c.Name[:len(prefix)] == prefix {
 			out = append(out, c)
 			if len(out) == most {
--- a/internal/ledger/step.go
+++ b/internal/statemachine/step.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 
 // StepConfig puts in force what a step makes of the document that stands: the
 // same as a SetConfig or, with a number, a NumberConfig with the whole of it.
-// Versions are applied in order from a checkpoint, which holds the whole, so
+// Versions are applied in order from a snapshot, which holds the whole, so
 // none is needed between them.
 type StepConfig struct {
 	Step   patch.Step `msgpack:"s"`
@@ -49,13 +49,13 @@
 // Apply sets the configuration. A step that does not begin at the document that
 // stands, or does not end where it says, changes nothing: at every replica, as
 // all hold the same.
-func (c *StepConfig) Apply(s *State) Receipt {
+func (c *StepConfig) Apply(s *State) Result {
 	now := s.Config()
 	doc, err := c.Step.Apply(now.Doc)
 	// What would be turned away or passed over as a whole is so as a step.
 	old := c.Number > 0 && c.Number <= now.Version || c.Number == 0 && c.Base != now.Version
 	if err != nil && !old {
-		return Receipt{Code: Conflict, Version: now.Version, Say: fmt.Sprintf("a step does not fit version %d: %v", now.Version, err)}
+		return Result{Code: Conflict, Version: now.Version, Message: fmt.Sprintf("a step does not fit version %d: %v", now.Version, err)}
 	}
 	if c.Number > 0 {
 		return (&NumberConfig{Number: c.Number, Doc: doc, Who: c.Who, Why: c.Why}).Apply(s)
--- a/internal/ledger/step_test.go
+++ b/internal/statemachine/step_test.go
@@ -1,4 +1,4 @@
-package ledger
+package statemachine
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 )
 
 // TestSteps: a row of documents as steps leaves the very state that it leaves
-// whole, with the same receipts; a step that doesn't fit changes nothing.
+// whole, with the same result; a step that doesn't fit changes nothing.
 func TestSteps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		whole, steps := New("m", nil), New("m", nil)
--- a/internal/store/batch.go
+++ b/internal/store/batch.go
@@ -3,24 +3,24 @@
 import (
 	"time"
 
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // batchCommands gives the commands of a batch, and where each offer's own stands among
 // them. Some are led in by another command in the same entry, so that nothing
 // comes between the two; all are commands that every version of the program
 // applies alike. learn is held.
-func (s *Store) batchCommands(batch []*proposal) (cmds ledger.Batch, mine []int) {
+func (s *Store) batchCommands(batch []*proposal) (cmds statemachine.Batch, mine []int) {
 	now := time.Now()
-	add := func(kind string, c ledger.Command) {
-		if p, err := ledger.Pack(kind, c); err == nil {
+	add := func(kind string, c statemachine.Command) {
+		if p, err := statemachine.Pack(kind, c); err == nil {
 			cmds = append(cmds, p)
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range batch {
-		if in, ok := o.in.(*ledger.TakeLock); ok && !in.Renew {
+		if in, ok := o.in.(*statemachine.AcquireLock); ok && !in.Renew {
 			s.lockPrelude(o, in, now, add)
 		}
 		mine = append(mine, len(cmds))
@@ -36,7 +36,7 @@
 // acquires again is given back first, so that it has a new fence: a release or
 // renewal of the old one, held up on its way, then does nothing. One that asks
 // to keep its fence is a renewal. mu is held.
-func (s *Store) lockPrelude(o *proposal, in *ledger.TakeLock, now time.Time, add func(string, ledger.Command)) {
+func (s *Store) lockPrelude(o *proposal, in *statemachine.AcquireLock, now time.Time, add func(string, statemachine.Command)) {
 	if c := s.expiredLock(in.Name, now); c != nil {
 		add("lock.expire", c)
 		return
@@ -47,8 +47,8 @@
 	}
 	// Nor does this take time away from what the owner may count on.
 	in.TTL = max(in.TTL, l.TTL)
-	if p, err := ledger.Pack("lock.take", in); err == nil {
+	if p, err := statemachine.Pack("lock.take", in); err == nil {
 		o.cmd = p
-		add("lock.free", &ledger.FreeLock{Name: in.Name, Owner: in.Owner, Fence: l.Fence})
+		add("lock.free", &statemachine.ReleaseLock{Name: in.Name, Owner: in.Owner, Fence: l.Fence})
 	}
 }
--- a/internal/store/campaign.go
+++ b/internal/store/campaign.go
@@ -7,7 +7,7 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // followStep watches for a vacant duty and stands for it; it tells when to look
@@ -141,11 +141,11 @@
 	}
 	// A first entry of our own: what the reads of this term see is then
 	// known to be all that was ever acknowledged.
-	p, err := ledger.Pack("noop", &ledger.Noop{})
+	p, err := statemachine.Pack("noop", &statemachine.Noop{})
 	if err != nil {
 		return false
 	}
-	raw, err := ledger.Batch{p}.Pack()
+	raw, err := statemachine.Batch{p}.Pack()
 	if err != nil {
 		return false
 	}
--- a/internal/store/campaign_test.go
+++ b/internal/store/campaign_test.go
@@ -13,8 +13,8 @@
 	"puffincrank/internal/disk"
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/props"
+	"puffincrank/internal/statemachine"
 )
 
 // nobody is a network without peers; it notes who was dialled.
@@ -60,14 +60,14 @@
 			defer s.Kill()
 			// A member among five; another wrote and was heard just now.
 			holder := ballot.Number{Round: 7, Candidate: "w"}
-			s.state = ledger.New("m", nil)
+			s.state = statemachine.New("m", nil)
 			for i, id := range []string{"a", "b", "c", "d"} {
 				if i == rank {
 					id = s.acc.Identity().ID
 				}
-				s.state.Members = append(s.state.Members, ledger.Member{ID: id, Addr: map[bool]string{true: "me:1", false: id + ":1"}[i == rank]})
+				s.state.Members = append(s.state.Members, statemachine.Member{ID: id, Addr: map[bool]string{true: "me:1", false: id + ":1"}[i == rank]})
 			}
-			s.state.Members = append(s.state.Members, ledger.Member{ID: "w", Addr: "w:1"})
+			s.state.Members = append(s.state.Members, statemachine.Member{ID: "w", Addr: "w:1"})
 			s.role.Fire("filled")
 			s.voter = ballot.NewVoter(holder, p.Vacant(), s.promise)
 			from := time.Now()
--- a/internal/store/electorate.go
+++ b/internal/store/electorate.go
@@ -40,7 +40,7 @@
 	defer end()
 	who, need := s.memberAddresses()
 	s.mu.Lock()
-	ask := ballotAsk{Num: num, ID: s.acc.Identity().ID, Real: real, Slot: s.slot, Mesh: s.state.Mesh, Addr: s.P.Inner}
+	ask := ballotAsk{Num: num, ID: s.acc.Identity().ID, Real: real, Slot: s.slot, Mesh: s.state.ClusterID, Addr: s.P.Inner}
 	s.mu.Unlock()
 	out, best, newest := 0, "", ask.Slot
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (ballotVote, error) {
--- a/internal/store/founding.go
+++ b/internal/store/founding.go
@@ -8,8 +8,8 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
@@ -21,9 +21,9 @@
 	s.noteSuccessor(in.ID, in.Addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	got := foundGot{Empty: s.state == nil, ID: s.acc.Identity().ID, Head: s.leaderAddress, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
+	got := foundGot{Empty: s.state == nil, ID: s.acc.Identity().ID, Head: s.leaderAddress, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: statemachine.Level}
 	if s.state != nil {
-		got.Mesh, got.Members, got.Slot = s.state.Mesh, s.state.Members, s.slot
+		got.Mesh, got.Members, got.Slot = s.state.ClusterID, s.state.Members, s.slot
 	}
 	return got, nil
 }
@@ -45,7 +45,7 @@
 // names a replica or an address twice, or is of an even number: the one more
 // bears no more losses, and every decision would wait for it. Two are let through,
 // since one alone would have the only copy.
-func checkFounders(members []ledger.Member, receiver string) error {
+func checkFounders(members []statemachine.Member, receiver string) error {
 	named := map[string]bool{}
 	for _, m := range members {
 		if m.ID == "" || m.Addr == "" {
@@ -68,7 +68,7 @@
 // founders gives the members that found a cluster: all that were found, but for
 // the last by address, not the founder itself, where they are of an even number
 // above two. That one stands by, and gets a place when one is free.
-func founders(all []ledger.Member, founder string) []ledger.Member {
+func founders(all []statemachine.Member, founder string) []statemachine.Member {
 	if n := len(all); n%2 == 1 || n == 2 {
 		return all
 	}
@@ -81,7 +81,7 @@
 	return slices.Delete(slices.Clone(all), last, last+1)
 }
 
-func memberAddresses(members []ledger.Member) []string {
+func memberAddresses(members []statemachine.Member) []string {
 	var out []string
 	for _, m := range members {
 		out = append(out, m.Addr)
@@ -96,8 +96,8 @@
 	if !s.empty() {
 		return nil
 	}
-	led := ledger.New(in.Mesh, in.Members)
-	led.Want, led.Level = in.Want, min(in.Level, ledger.Level)
+	led := statemachine.New(in.Mesh, in.Members)
+	led.WantedMembers, led.Level = in.Want, min(in.Level, statemachine.Level)
 	raw, err := led.Pack()
 	if err != nil {
 		return err
@@ -113,20 +113,20 @@
 		s.e.Log.Emit(event.Foreign, "format", c.Format, "own", paxos.Format)
 		return fault.New(fault.Input, "a snapshot of format %d, newer than %d", c.Format, paxos.Format)
 	}
-	led, err := ledger.Load(c.State)
+	led, err := statemachine.Load(c.State)
 	if err != nil {
 		s.e.Log.Emit(event.Foreign, "slot", c.Index, "why", err.Error())
 		return err
 	}
-	if mine := s.acc.Identity().ClusterID; mine != "" && mine != led.Mesh {
-		s.e.Log.Emit(event.Foreign, "mesh", led.Mesh, "own", mine)
-		return fault.New(fault.Refused, "data of mesh %s", led.Mesh)
+	if mine := s.acc.Identity().ClusterID; mine != "" && mine != led.ClusterID {
+		s.e.Log.Emit(event.Foreign, "mesh", led.ClusterID, "own", mine)
+		return fault.New(fault.Refused, "data of mesh %s", led.ClusterID)
 	}
 	err = s.writeDurably(func() error {
 		if err := s.acc.InstallSnapshot(c); err != nil {
 			return err
 		}
-		return s.acc.SetIdentity(paxos.Identity{ID: s.acc.Identity().ID, ClusterID: led.Mesh})
+		return s.acc.SetIdentity(paxos.Identity{ID: s.acc.Identity().ID, ClusterID: led.ClusterID})
 	})
 	if err != nil {
 		return err
@@ -137,7 +137,7 @@
 	s.mu.Lock()
 	s.e.Trace.Tell(trace.Installed{Replica: s.acc.Identity().ID, Slot: s.slot, Sum: string(s.sum), Members: s.memberIDs()})
 	s.mu.Unlock()
-	s.e.Log.Emit(say, "mesh", led.Mesh, "slot", c.Index)
+	s.e.Log.Emit(say, "mesh", led.ClusterID, "slot", c.Index)
 	// A joiner stays out of the voting until it is a member.
 	s.updateRole()
 	return nil
@@ -149,13 +149,13 @@
 // from each other.
 func (s *Store) found(ctx context.Context, all []foundGot, addrs []string) {
 	least := ""
-	in := genesis{Mesh: s.P.Mesh + "/" + fresh(), Want: s.P.Voters(), Level: ledger.Level}
+	in := genesis{Mesh: s.P.Mesh + "/" + fresh(), Want: s.P.Voters(), Level: statemachine.Level}
 	for i, got := range all {
 		if !got.Never && (least == "" || addrs[i] < least) {
 			least = addrs[i]
 		}
 		in.Level = min(in.Level, got.Knows)
-		in.Members = append(in.Members, ledger.Member{ID: got.ID, Addr: addrs[i], Area: got.Area, Land: got.Land})
+		in.Members = append(in.Members, statemachine.Member{ID: got.ID, Addr: addrs[i], Zone: got.Area, Region: got.Land})
 	}
 	if least != s.P.Inner {
 		return
--- a/internal/store/founding_test.go
+++ b/internal/store/founding_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
@@ -16,27 +16,27 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := bare(t)
 		defer s.Kill()
-		me := ledger.Member{ID: s.acc.Identity().ID, Addr: "me:1"}
-		b, c, d := ledger.Member{ID: "b", Addr: "b:1"}, ledger.Member{ID: "c", Addr: "c:1"}, ledger.Member{ID: "d", Addr: "d:1"}
+		me := statemachine.Member{ID: s.acc.Identity().ID, Addr: "me:1"}
+		b, c, d := statemachine.Member{ID: "b", Addr: "b:1"}, statemachine.Member{ID: "c", Addr: "c:1"}, statemachine.Member{ID: "d", Addr: "d:1"}
 		for _, bad := range []struct {
 			name    string
-			members []ledger.Member
+			members []statemachine.Member
 			fault   string
 		}{
 			{"none", nil, "not named"},
-			{"others", []ledger.Member{b, c, d}, "not named"},
-			{"an identity twice", []ledger.Member{me, b, {ID: "b", Addr: "x:1"}}, "twice"},
-			{"an address twice", []ledger.Member{me, b, {ID: "x", Addr: "b:1"}}, "twice"},
-			{"an even number", []ledger.Member{me, b, c, d}, "even number"},
-			{"no identity", []ledger.Member{me, b, {Addr: "c:1"}}, "without identity"},
-			{"no address", []ledger.Member{me, b, {ID: "c"}}, "without identity"},
+			{"others", []statemachine.Member{b, c, d}, "not named"},
+			{"an identity twice", []statemachine.Member{me, b, {ID: "b", Addr: "x:1"}}, "twice"},
+			{"an address twice", []statemachine.Member{me, b, {ID: "x", Addr: "b:1"}}, "twice"},
+			{"an even number", []statemachine.Member{me, b, c, d}, "even number"},
+			{"no identity", []statemachine.Member{me, b, {Addr: "c:1"}}, "without identity"},
+			{"no address", []statemachine.Member{me, b, {ID: "c"}}, "without identity"},
 		} {
 			_, err := s.onGenesis(t.Context(), wire.Hello{}, genesis{Mesh: "m/1", Members: bad.members})
 			if !fault.Is(err, fault.Refused) || !strings.Contains(err.Error(), bad.fault) || !s.empty() {
 				t.Errorf("%s: %v", bad.name, err)
 			}
 		}
-		if got, err := s.onGenesis(t.Context(), wire.Hello{}, genesis{Mesh: "m/1", Members: []ledger.Member{b, me, c}}); err != nil || !got.Yes || s.empty() {
+		if got, err := s.onGenesis(t.Context(), wire.Hello{}, genesis{Mesh: "m/1", Members: []statemachine.Member{b, me, c}}); err != nil || !got.Yes || s.empty() {
 			t.Errorf("a whole founding: %+v, %v", got, err)
 		}
 	})
@@ -48,9 +48,9 @@
 	for _, c := range []struct{ found, want string }{
 		{"a", "a"}, {"ab", "ab"}, {"abc", "abc"}, {"badc", "bac"}, {"zabc", "zab"}, {"abcdef", "abcde"},
 	} {
-		var all []ledger.Member
+		var all []statemachine.Member
 		for _, name := range strings.Split(c.found, "") {
-			all = append(all, ledger.Member{ID: name, Addr: name})
+			all = append(all, statemachine.Member{ID: name, Addr: name})
 		}
 		got := strings.Join(memberAddresses(founders(all, c.found[:1])), "")
 		if got != c.want {
--- a/internal/store/holders.go
+++ b/internal/store/holders.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // A change of the members is proposed only when a majority of those who would
@@ -15,7 +15,7 @@
 
 // holders counts the members that are known to have applied up to a slot; t.mu
 // is held.
-func (t *leadership) holders(members []ledger.Member, slot uint64) (n int) {
+func (t *leadership) holders(members []statemachine.Member, slot uint64) (n int) {
 	for _, m := range members {
 		// One that ends soon may take its disk with it.
 		if !t.contacts[m.ID].going.IsZero() {
@@ -37,7 +37,7 @@
 
 // awaitHolders waits until so many of these members hold all that is chosen, a beat
 // at the most. learn is held, so nothing is decided meanwhile.
-func (t *leadership) awaitHolders(ctx context.Context, members []ledger.Member, need int) bool {
+func (t *leadership) awaitHolders(ctx context.Context, members []statemachine.Member, need int) bool {
 	for from := time.Now(); ctx.Err() == nil && !t.ended(); {
 		t.mu.Lock()
 		slot := t.s.slot
@@ -60,12 +60,12 @@
 }
 
 // heldByMajority is the guard of a change after which these are the members.
-func (t *leadership) heldByMajority(then []ledger.Member) func(context.Context) bool {
+func (t *leadership) heldByMajority(then []statemachine.Member) func(context.Context) bool {
 	return func(ctx context.Context) bool { return t.awaitHolders(ctx, then, len(then)/2+1) }
 }
 
 // without lists the members but one.
-func without(members []ledger.Member, id string) (out []ledger.Member) {
+func without(members []statemachine.Member, id string) (out []statemachine.Member) {
 	for _, m := range members {
 		if m.ID != id {
 			out = append(out, m)
@@ -76,7 +76,7 @@
 
 // withReplaced lists the members after one has taken the place of another, or a
 // place of its own.
-func withReplaced(members []ledger.Member, old string, joiner ledger.Member) []ledger.Member {
+func withReplaced(members []statemachine.Member, old string, joiner statemachine.Member) []statemachine.Member {
 	return append(without(members, old), joiner)
 }
 
@@ -94,5 +94,5 @@
 		return held
 	}
 	r, err := t.submit(ctx, &proposal{guard: guard, result: make(chan outcome, 1)})
-	return err == nil && r.Code == ledger.OK
+	return err == nil && r.Code == statemachine.OK
 }
--- a/internal/store/holders_test.go
+++ b/internal/store/holders_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"puffincrank/internal/ballot"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // TestGoingNotCounted: a member that ends soon is not counted among those that
@@ -16,7 +16,7 @@
 		s, _ := alone(t)
 		defer s.Kill()
 		me := s.acc.Identity().ID
-		s.state.Members = []ledger.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
+		s.state.Members = []statemachine.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
 		term := s.newLeadership(ballot.Number{Round: 1, Candidate: me})
 		defer term.stop()
 		count := func() int {
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -7,8 +7,8 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
@@ -93,7 +93,7 @@
 	s.mu.Unlock()
 	ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
 		if to == s.P.Inner {
-			return foundGot{Empty: true, ID: s.acc.Identity().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}, nil
+			return foundGot{Empty: true, ID: s.acc.Identity().ID, Never: !s.P.Founding, Area: s.P.Area, Land: s.P.Region, Knows: statemachine.Level}, nil
 		}
 		return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Identity().ID, s.P.Inner})
 	}, func(to string, got foundGot, err error) bool {
@@ -146,7 +146,7 @@
 func (s *Store) reportToLeader(ctx context.Context, to string) bool {
 	for range 3 {
 		s.mu.Lock()
-		ask := joinAsk{ID: s.acc.Identity().ID, Addr: s.P.Inner, Mesh: s.state.Mesh, Slot: s.slot, Area: s.P.Area, Land: s.P.Region, Knows: ledger.Level}
+		ask := joinAsk{ID: s.acc.Identity().ID, Addr: s.P.Inner, Mesh: s.state.ClusterID, Slot: s.slot, Area: s.P.Area, Land: s.P.Region, Knows: statemachine.Level}
 		s.mu.Unlock()
 		got, err := wire.Ask[joinGot](ctx, s.n, to, "store.join", ask)
 		if err == nil && got.Slot == 0 && got.Has > ask.Slot && s.refill(ctx, to) == nil && s.votes() {
@@ -183,7 +183,7 @@
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	s.mu.Lock()
-	chosen, clusterID := s.slot, s.state.Mesh
+	chosen, clusterID := s.slot, s.state.ClusterID
 	s.mu.Unlock()
 	former, now := s.acc.Identity().ID, paxos.Identity{ID: fresh(), ClusterID: clusterID}
 	if err := s.writeDurably(func() error { return s.acc.Rename(now, chosen) }); err != nil {
--- a/internal/store/join_test.go
+++ b/internal/store/join_test.go
@@ -9,8 +9,8 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
@@ -107,11 +107,11 @@
 // firstEntry is a chosen entry that gives a member's place to another replica.
 func firstEntry(t *testing.T, old, joiner string) paxos.Entry {
 	t.Helper()
-	change, err := ledger.Pack("store.replace", &ledger.ReplaceStore{Old: old, New: ledger.Member{ID: joiner, Addr: joiner + ":1"}})
+	change, err := statemachine.Pack("store.replace", &statemachine.ReplaceMember{Old: old, New: statemachine.Member{ID: joiner, Addr: joiner + ":1"}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw, err := ledger.Batch{change}.Pack()
+	raw, err := statemachine.Batch{change}.Pack()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -124,7 +124,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, road := bare(t)
 		defer s.Kill()
-		led := ledger.New("m", []ledger.Member{{ID: "a", Addr: "a:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}})
+		led := statemachine.New("m", []statemachine.Member{{ID: "a", Addr: "a:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}})
 		raw, err := led.Pack()
 		if err != nil {
 			t.Fatal(err)
@@ -154,7 +154,7 @@
 			s, road := alone(t)
 			defer s.Kill()
 			me := s.acc.Identity().ID
-			s.state.Members = []ledger.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
+			s.state.Members = []statemachine.Member{{ID: me, Addr: "me:1"}, {ID: "b", Addr: "b:1"}, {ID: "c", Addr: "c:1"}}
 			s.updateRole()
 			entry := firstEntry(t, me, "d")
 			if !removed {
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -8,8 +8,8 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/task"
 	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
@@ -75,10 +75,10 @@
 
 // decide gets one entry accepted by a majority and applies it; learn is
 // held. An error means that it may or may not be chosen.
-func (t *leadership) decide(ctx context.Context, raw []byte) ([]ledger.Receipt, error) {
+func (t *leadership) decide(ctx context.Context, raw []byte) ([]statemachine.Result, error) {
 	s := t.s
 	e := paxos.Entry{Index: s.slot + 1, Previous: s.sum, Batch: raw, Ballot: t.num}
-	ask := acceptAsk{Entry: e, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.Mesh}
+	ask := acceptAsk{Entry: e, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.ClusterID}
 	who, need := s.memberAddresses()
 	got := map[string]bool{}
 	var acceptors []string
--- a/internal/store/leases.go
+++ b/internal/store/leases.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // lease is when a lock's time to live runs out, on this store's own monotonic
@@ -32,31 +32,31 @@
 	now := time.Now()
 	s.leases = map[string]lease{}
 	for n, l := range s.state.Locks {
-		s.leases[n] = lease{l.Fence, l.Renew, now.Add(withDrift(time.Duration(l.TTL) * time.Millisecond))}
+		s.leases[n] = lease{l.Fence, l.Renewals, now.Add(withDrift(time.Duration(l.TTL) * time.Millisecond))}
 	}
-	s.revisionMarks = []revisionMark{{now, s.state.Rev, s.state.Given()}}
+	s.revisionMarks = []revisionMark{{now, s.state.Revision, s.state.TotalPuts()}}
 	s.requestMarks = nil
 	s.markRequests(now)
 }
 
 // recordLeases notes what an entry did to locks and histories; mu is held.
-func (s *Store) recordLeases(cmds []ledger.Command, out []ledger.Receipt) {
+func (s *Store) recordLeases(cmds []statemachine.Command, out []statemachine.Result) {
 	now := time.Now()
 	for i, c := range cmds {
-		if out[i].Code != ledger.OK {
+		if out[i].Code != statemachine.OK {
 			continue
 		}
 		switch c := c.(type) {
-		case *ledger.TakeLock:
+		case *statemachine.AcquireLock:
 			end := now.Add(withDrift(time.Duration(c.TTL) * time.Millisecond))
 			// A renewal never takes time away, see TakeLock.
 			if old, ok := s.leases[c.Name]; ok && old.fence == out[i].Lock.Fence && old.end.After(end) {
 				end = old.end
 			}
-			s.leases[c.Name] = lease{out[i].Lock.Fence, out[i].Lock.Renew, end}
-		case *ledger.FreeLock:
+			s.leases[c.Name] = lease{out[i].Lock.Fence, out[i].Lock.Renewals, end}
+		case *statemachine.ReleaseLock:
 			delete(s.leases, c.Name)
-		case *ledger.ExpireLock:
+		case *statemachine.ExpireLock:
 			delete(s.leases, c.Name)
 		}
 	}
@@ -66,19 +66,19 @@
 // markPast notes from time to time which revisions stand; mu is held.
 func (s *Store) markPast(now time.Time) {
 	if now.Sub(s.revisionMarks[len(s.revisionMarks)-1].at) >= s.P.Lease() {
-		s.revisionMarks = append(s.revisionMarks, revisionMark{now, s.state.Rev, s.state.Given()})
+		s.revisionMarks = append(s.revisionMarks, revisionMark{now, s.state.Revision, s.state.TotalPuts()})
 	}
 	s.markRequests(now)
 }
 
 // expiredLock gives the end of a lock whose time has run out; nil while it has not.
 // mu is held.
-func (s *Store) expiredLock(name string, now time.Time) *ledger.ExpireLock {
+func (s *Store) expiredLock(name string, now time.Time) *statemachine.ExpireLock {
 	l, held := s.state.Locks[name]
 	if c, ok := s.leases[name]; !held || !ok || c.fence != l.Fence || !now.After(c.end) {
 		return nil
 	}
-	return &ledger.ExpireLock{Name: name, Fence: l.Fence, Renew: l.Renew}
+	return &statemachine.ExpireLock{Name: name, Fence: l.Fence, Renew: l.Renewals}
 }
 
 // expireLocks proposes the end of locks that nobody asks for any more. Those that
@@ -86,7 +86,7 @@
 func (t *leadership) expireLocks(context.Context) {
 	s := t.s
 	now := time.Now()
-	var out []*ledger.ExpireLock
+	var out []*statemachine.ExpireLock
 	s.mu.Lock()
 	for n := range s.state.Locks {
 		if c := s.expiredLock(n, now); c != nil {
@@ -95,7 +95,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range out {
-		p, err := ledger.Pack("lock.expire", c)
+		p, err := statemachine.Pack("lock.expire", c)
 		if err != nil {
 			continue
 		}
@@ -107,17 +107,17 @@
 // with an entry that is made anyway, so that they cost none of their own.
 // History is kept for a fifth longer than its bound, and puts longer still,
 // since they also tell one that is sent again. mu is held.
-func (s *Store) trimCommands(now time.Time) map[string]ledger.Command {
+func (s *Store) trimCommands(now time.Time) map[string]statemachine.Command {
 	s.markPast(now)
 	keep, long := s.P.History+s.P.History/5, s.P.History+s.P.History*3/5
-	out := map[string]ledger.Command{}
+	out := map[string]statemachine.Command{}
 	n := 0
 	for n < len(s.revisionMarks)-1 && now.Sub(s.revisionMarks[n].at) > long {
 		n++
 	}
 	if n > 0 {
-		if to := s.revisionMarks[n-1].puts; to > s.state.Trimmed {
-			out["cell.trim"] = &ledger.TrimPuts{To: to}
+		if to := s.revisionMarks[n-1].puts; to > s.state.CompactedPuts {
+			out["cell.trim"] = &statemachine.CompactPuts{To: to}
 		}
 		s.revisionMarks = append([]revisionMark(nil), s.revisionMarks[n:]...)
 	}
@@ -128,8 +128,8 @@
 		}
 		to = m.rev
 	}
-	if to >= s.state.Oldest {
-		out["history.trim"] = &ledger.TrimPast{To: to}
+	if to >= s.state.OldestRevision {
+		out["history.trim"] = &statemachine.CompactChanges{To: to}
 	}
 	if c := s.trimRequests(now); c != nil {
 		out["request.trim"] = c
--- a/internal/store/leave.go
+++ b/internal/store/leave.go
@@ -6,7 +6,7 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
 )
@@ -76,7 +76,7 @@
 	defer end()
 	who, _ := s.memberAddresses()
 	has := map[string]uint64{s.acc.Identity().ID: slot}
-	var after []ledger.Member
+	var after []statemachine.Member
 	for range 2 {
 		ballot.Poll(ctx, s.g, who, func(ctx context.Context, to string) (foundGot, error) {
 			return wire.Ask[foundGot](ctx, s.n, to, "store.found", foundAsk{s.acc.Identity().ID, s.P.Inner})
@@ -167,7 +167,7 @@
 		}
 		if pick != nil {
 			r, err := t.changeMembers(ctx, old, false, pick.m)
-			if err != nil || r.Code == ledger.OK {
+			if err != nil || r.Code == statemachine.OK {
 				return err == nil
 			}
 		}
--- a/internal/store/membership.go
+++ b/internal/store/membership.go
@@ -9,7 +9,7 @@
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
@@ -20,7 +20,7 @@
 
 // learner is a replica that stands by, as the leader knows it.
 type learner struct {
-	m     ledger.Member
+	m     statemachine.Member
 	slot  uint64    // what it had applied at its newest word
 	lacks uint64    // how many entries it lacked then
 	knows int       // the level of commands that it understands
@@ -36,7 +36,7 @@
 	defer t.mu.Unlock()
 	sp := t.learners[in.ID]
 	if sp == nil || now.Sub(sp.heard) > t.s.P.Lease() {
-		sp = &learner{m: ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land}, since: now}
+		sp = &learner{m: statemachine.Member{ID: in.ID, Addr: in.Addr, Zone: in.Area, Region: in.Land}, since: now}
 		t.learners[in.ID] = sp
 	}
 	sp.slot, sp.heard, sp.knows = in.Slot, now, in.Knows
@@ -66,10 +66,10 @@
 // bestLearner gives the whole learner for the place of a member, or for a free one: of the
 // region and area with the fewest members, so that their loss takes few; mu is
 // held.
-func (t *leadership) bestLearner(all []ledger.Member, old string, steady time.Duration) *learner {
+func (t *leadership) bestLearner(all []statemachine.Member, old string, steady time.Duration) *learner {
 	var pick *learner
 	for _, sp := range t.learners {
-		if sp.lacks > learnerLag || !t.isSteady(sp, steady) || slices.ContainsFunc(all, func(m ledger.Member) bool { return m.ID == sp.m.ID }) {
+		if sp.lacks > learnerLag || !t.isSteady(sp, steady) || slices.ContainsFunc(all, func(m statemachine.Member) bool { return m.ID == sp.m.ID }) {
 			continue
 		}
 		if pick == nil || cmp.Or(compareSharing(all, sp.m, pick.m, old), strings.Compare(sp.m.ID, pick.m.ID)) < 0 {
@@ -80,7 +80,7 @@
 }
 
 // countInTouch counts the members that were heard lately, without one; mu is held.
-func (t *leadership) countInTouch(all []ledger.Member, without string) (n int) {
+func (t *leadership) countInTouch(all []statemachine.Member, without string) (n int) {
 	for _, m := range all {
 		if m.ID != without && (m.ID == t.s.acc.Identity().ID || time.Since(t.contacts[m.ID].at) < t.s.P.Lease()) {
 			n++
@@ -91,7 +91,7 @@
 
 // placeFor says what may become of a learner now: the member whose place it
 // takes, or a free place; say tells why neither.
-func (t *leadership) placeFor(in joinAsk, all []ledger.Member, want int, slot uint64) (old string, free bool, say string) {
+func (t *leadership) placeFor(in joinAsk, all []statemachine.Member, want int, slot uint64) (old string, free bool, say string) {
 	if in.Knows < t.s.level() {
 		return "", false, "its program is too old for the commands in use"
 	}
@@ -117,7 +117,7 @@
 	free = old == "" && len(all) < want && t.countInTouch(all, "") == len(all)
 	if old == "" && len(all) >= want && t.countInTouch(all, "") == len(all) {
 		// Nobody is lost, so there is no hurry: a learner must have shown that it stays.
-		if old = t.s.memberToMove(all, ledger.Member{ID: in.ID, Area: in.Area, Land: in.Land}); old != "" {
+		if old = t.s.memberToMove(all, statemachine.Member{ID: in.ID, Zone: in.Area, Region: in.Land}); old != "" {
 			steady = t.s.P.Replace / 2
 		}
 	}
@@ -145,7 +145,7 @@
 		s.mu.Unlock()
 		return got, nil
 	}
-	mesh := s.state.Mesh
+	mesh := s.state.ClusterID
 	got = joinGot{Slot: s.slot, Done: s.isMember(in.ID)}
 	s.mu.Unlock()
 	if in.Mesh != mesh {
@@ -167,12 +167,12 @@
 		got.Say = say
 		return got, nil
 	}
-	r, err := t.changeMembers(ctx, old, free, ledger.Member{ID: in.ID, Addr: in.Addr, Area: in.Area, Land: in.Land})
+	r, err := t.changeMembers(ctx, old, free, statemachine.Member{ID: in.ID, Addr: in.Addr, Zone: in.Area, Region: in.Land})
 	if err != nil {
 		return joinGot{}, err
 	}
 	_, _, slot = s.members()
-	return joinGot{Done: r.Code == ledger.OK, Say: r.Say, Slot: slot}, nil
+	return joinGot{Done: r.Code == statemachine.OK, Say: r.Message, Slot: slot}, nil
 }
 
 // level is that of the commands in use.
@@ -182,26 +182,26 @@
 	return s.state.Level
 }
 
-func (s *Store) members() (all []ledger.Member, want int, slot uint64) {
+func (s *Store) members() (all []statemachine.Member, want int, slot uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Members, s.state.Wanted(), s.slot
+	return s.state.Members, s.state.VoterCount(), s.slot
 }
 
 // changeMembers decides a change of the members; swaps is held.
-func (t *leadership) changeMembers(ctx context.Context, old string, free bool, m ledger.Member) (ledger.Receipt, error) {
+func (t *leadership) changeMembers(ctx context.Context, old string, free bool, m statemachine.Member) (statemachine.Result, error) {
 	s := t.s
 	all, _, _ := s.members()
-	kind, cmd := "store.replace", ledger.Command(&ledger.ReplaceStore{Old: old, New: m})
+	kind, cmd := "store.replace", statemachine.Command(&statemachine.ReplaceMember{Old: old, New: m})
 	if free && len(all) >= 3 {
-		kind, cmd = "store.add", &ledger.AddStore{New: m}
+		kind, cmd = "store.add", &statemachine.AddMember{New: m}
 	}
-	p, err := ledger.Pack(kind, cmd)
+	p, err := statemachine.Pack(kind, cmd)
 	if err != nil {
-		return ledger.Receipt{}, err
+		return statemachine.Result{}, err
 	}
 	r, err := t.proposeGuarded(ctx, p, nil, t.heldByMajority(withReplaced(all, old, m)))
-	if err == nil && r.Code == ledger.OK {
+	if err == nil && r.Code == statemachine.OK {
 		for _, o := range all {
 			if o.ID == old && o.Addr != m.Addr {
 				s.mu.Lock()
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -3,8 +3,8 @@
 import (
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 )
 
 // The messages between stores, and from registries to stores.
@@ -75,23 +75,23 @@
 }
 
 type foundGot struct {
-	Empty   bool            `msgpack:"e"`
-	ID      string          `msgpack:"i"`
-	Mesh    string          `msgpack:"m"`
-	Members []ledger.Member `msgpack:"b"`
-	Head    string          `msgpack:"h"`
-	Never   bool            `msgpack:"n,omitempty"` // it may not found a mesh
-	Area    string          `msgpack:"z,omitempty"`
-	Land    string          `msgpack:"l,omitempty"`
-	Knows   int             `msgpack:"k,omitempty"` // the level of commands that it understands
-	Slot    uint64          `msgpack:"s,omitempty"` // what it has applied
+	Empty   bool                  `msgpack:"e"`
+	ID      string                `msgpack:"i"`
+	Mesh    string                `msgpack:"m"`
+	Members []statemachine.Member `msgpack:"b"`
+	Head    string                `msgpack:"h"`
+	Never   bool                  `msgpack:"n,omitempty"` // it may not found a mesh
+	Area    string                `msgpack:"z,omitempty"`
+	Land    string                `msgpack:"l,omitempty"`
+	Knows   int                   `msgpack:"k,omitempty"` // the level of commands that it understands
+	Slot    uint64                `msgpack:"s,omitempty"` // what it has applied
 }
 
 type genesis struct {
-	Mesh    string          `msgpack:"m"`
-	Members []ledger.Member `msgpack:"b"`
-	Want    int             `msgpack:"w,omitempty"`
-	Level   int             `msgpack:"k,omitempty"` // of commands, that all members understand
+	Mesh    string                `msgpack:"m"`
+	Members []statemachine.Member `msgpack:"b"`
+	Want    int                   `msgpack:"w,omitempty"`
+	Level   int                   `msgpack:"k,omitempty"` // of commands, that all members understand
 }
 
 type joinAsk struct {
@@ -133,7 +133,7 @@
 
 // Offer asks the leader for a command.
 type Offer struct {
-	Cmd ledger.Packed `msgpack:"c"`
+	Cmd statemachine.Packed `msgpack:"c"`
 	// Rest is how long before the call's own end the command may last be
 	// proposed, in ms; 0: until the end.
 	Rest int64 `msgpack:"r,omitempty"`
@@ -151,10 +151,10 @@
 // Given is the leader's word on an offer or a read; Head is set when another
 // store writes and nothing was done here.
 type Given struct {
-	Head    string          `msgpack:"h"`
-	Done    bool            `msgpack:"d"`
-	Receipt ledger.Receipt  `msgpack:"r"`
-	Members []ledger.Member `msgpack:"m"`
+	Head    string                `msgpack:"h"`
+	Done    bool                  `msgpack:"d"`
+	Receipt statemachine.Result   `msgpack:"r"`
+	Members []statemachine.Member `msgpack:"m"`
 }
 
 // Query asks the leader for a confirmed read.
@@ -181,19 +181,19 @@
 
 // Status is what a store says of itself.
 type Status struct {
-	Node    string          `msgpack:"node" json:"node"`
-	Addr    string          `msgpack:"addr" json:"addr"`
-	Area    string          `msgpack:"area" json:"area"`
-	Role    string          `msgpack:"role" json:"role"`
-	Slot    uint64          `msgpack:"slot" json:"version_slot"`
-	Head    string          `msgpack:"head" json:"writer"`
-	Ballot  string          `msgpack:"ballot" json:"ballot"`
-	Config  uint64          `msgpack:"config" json:"config_version"`
-	Ill     bool            `msgpack:"ill" json:"disk_ill"`
-	Ready   bool            `msgpack:"ready" json:"ready"`
-	Why     string          `msgpack:"why" json:"why,omitempty"`
-	Members []ledger.Member `msgpack:"members" json:"members"`
-	Events  []event.Entry   `msgpack:"events" json:"-"`
+	Node    string                `msgpack:"node" json:"node"`
+	Addr    string                `msgpack:"addr" json:"addr"`
+	Area    string                `msgpack:"area" json:"area"`
+	Role    string                `msgpack:"role" json:"role"`
+	Slot    uint64                `msgpack:"slot" json:"version_slot"`
+	Head    string                `msgpack:"head" json:"writer"`
+	Ballot  string                `msgpack:"ballot" json:"ballot"`
+	Config  uint64                `msgpack:"config" json:"config_version"`
+	Ill     bool                  `msgpack:"ill" json:"disk_ill"`
+	Ready   bool                  `msgpack:"ready" json:"ready"`
+	Why     string                `msgpack:"why" json:"why,omitempty"`
+	Members []statemachine.Member `msgpack:"members" json:"members"`
+	Events  []event.Entry         `msgpack:"events" json:"-"`
 }
 
 // Messages lists every message of this package, for the check that a later
--- a/internal/store/proposals.go
+++ b/internal/store/proposals.go
@@ -6,15 +6,15 @@
 	"time"
 
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // proposal is one command that waits to be proposed.
 type proposal struct {
-	cmd    ledger.Packed
-	in     ledger.Command // the same, opened
-	latest time.Time      // when it may last be proposed; zero: at any time
-	once   *RequestKey    // set for a request that may be sent again
+	cmd    statemachine.Packed
+	in     statemachine.Command // the same, opened
+	latest time.Time            // when it may last be proposed; zero: at any time
+	once   *RequestKey          // set for a request that may be sent again
 	// guard, if set, must hold at the moment of the proposal, with nothing decided
 	// in between. An offer without a command only asks for that.
 	guard  func(context.Context) bool
@@ -23,41 +23,41 @@
 }
 
 type outcome struct {
-	receipt ledger.Receipt
+	receipt statemachine.Result
 	err     error
 }
 
 // propose proposes a command of this store's own.
-func (t *leadership) propose(ctx context.Context, p ledger.Packed) (ledger.Receipt, error) {
+func (t *leadership) propose(ctx context.Context, p statemachine.Packed) (statemachine.Result, error) {
 	return t.proposeOnce(ctx, p, nil)
 }
 
 // proposeOnce proposes a command of this store's own for a request that may come
 // again; without a key it is an ordinary command.
-func (t *leadership) proposeOnce(ctx context.Context, p ledger.Packed, once *RequestKey) (ledger.Receipt, error) {
+func (t *leadership) proposeOnce(ctx context.Context, p statemachine.Packed, once *RequestKey) (statemachine.Result, error) {
 	return t.proposeGuarded(ctx, p, once, nil)
 }
 
 // proposeGuarded proposes a command of this store's own if its guard holds.
-func (t *leadership) proposeGuarded(ctx context.Context, p ledger.Packed, once *RequestKey, guard func(context.Context) bool) (ledger.Receipt, error) {
+func (t *leadership) proposeGuarded(ctx context.Context, p statemachine.Packed, once *RequestKey, guard func(context.Context) bool) (statemachine.Result, error) {
 	in, err := p.Open()
 	if err != nil {
-		return ledger.Receipt{}, fault.Wrap(fault.Refused, err, "offer")
+		return statemachine.Result{}, fault.Wrap(fault.Refused, err, "offer")
 	}
 	return t.submit(ctx, &proposal{cmd: p, in: in, once: once, guard: guard, result: make(chan outcome, 1)})
 }
 
 // submit queues an offer and waits for what became of it.
-func (t *leadership) submit(ctx context.Context, o *proposal) (ledger.Receipt, error) {
+func (t *leadership) submit(ctx context.Context, o *proposal) (statemachine.Result, error) {
 	t.pending.Add(1)
 	defer t.pending.Add(-1)
 	if t.ended() || t.shut.Load() {
-		return ledger.Receipt{}, fault.New(fault.Refused, "no longer the writer")
+		return statemachine.Result{}, fault.New(fault.Refused, "no longer the writer")
 	}
 	select {
 	case t.queue <- o:
 	default:
-		return ledger.Receipt{}, fault.New(fault.Refused, "the writer's queue is full")
+		return statemachine.Result{}, fault.New(fault.Refused, "the writer's queue is full")
 	}
 	select {
 	case d := <-o.result:
@@ -67,14 +67,14 @@
 	}
 	// Not yet taken by the loop: it is ours to drop, and certainly not done.
 	if o.taken.CompareAndSwap(false, true) {
-		return ledger.Receipt{}, fault.New(fault.Refused, "never proposed")
+		return statemachine.Result{}, fault.New(fault.Refused, "never proposed")
 	}
 	// The term ended: the leader loop says what it knows, or nobody does.
 	select {
 	case d := <-o.result:
 		return d.receipt, d.err
 	default:
-		return ledger.Receipt{}, fault.New(fault.Unknown, "not decided in time")
+		return statemachine.Result{}, fault.New(fault.Unknown, "not decided in time")
 	}
 }
 
@@ -142,9 +142,9 @@
 		held := o.guard == nil || o.guard(ctx)
 		switch {
 		case !held:
-			o.result <- outcome{receipt: ledger.Receipt{Code: ledger.Conflict, Say: "too few of the others hold all that is chosen"}}
+			o.result <- outcome{receipt: statemachine.Result{Code: statemachine.Conflict, Message: "too few of the others hold all that is chosen"}}
 		case o.in == nil:
-			o.result <- outcome{receipt: ledger.Receipt{Code: ledger.OK}}
+			o.result <- outcome{receipt: statemachine.Result{Code: statemachine.OK}}
 		default:
 			out = append(out, o)
 		}
@@ -163,7 +163,7 @@
 		return true
 	}
 	raw, err := cmds.Pack()
-	var out []ledger.Receipt
+	var out []statemachine.Result
 	if err == nil {
 		out, err = t.decide(ctx, raw)
 		if err == nil {
--- a/internal/store/puts.go
+++ b/internal/store/puts.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
@@ -32,13 +32,13 @@
 		switch {
 		case in.From == 0:
 			// Only the present revision is asked for.
-			g.Receipt = ledger.Receipt{Code: ledger.OK, Rev: rev}
+			g.Receipt = statemachine.Result{Code: statemachine.OK, Revision: rev}
 			return g, nil
 		case !ok:
-			g.Receipt = ledger.Receipt{Code: ledger.Gone, Rev: rev, Say: "the history does not reach back so far"}
+			g.Receipt = statemachine.Result{Code: statemachine.Gone, Revision: rev, Message: "the history does not reach back so far"}
 			return g, nil
 		case len(got) > 0 || last:
-			g.Receipt = ledger.Receipt{Code: ledger.OK, Changes: got, Rev: max(rev, in.From)}
+			g.Receipt = statemachine.Result{Code: statemachine.OK, Changes: got, Revision: max(rev, in.From)}
 			return g, nil
 		}
 		select {
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -2,8 +2,8 @@
 
 import (
 	"puffincrank/internal/ballot"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/trace"
 )
 
@@ -40,7 +40,7 @@
 
 // reset takes a checkpoint as the applied state.
 func (s *Store) reset(c paxos.Snapshot) error {
-	led, err := ledger.Load(c.State)
+	led, err := statemachine.Load(c.State)
 	if err != nil {
 		return err
 	}
--- a/internal/store/remove.go
+++ b/internal/store/remove.go
@@ -7,13 +7,13 @@
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
 // silentMember names the member that has not answered for longest, and for longer
 // than the bound; mu is held.
-func (t *leadership) silentMember(members []ledger.Member, bound time.Duration) (id string) {
+func (t *leadership) silentMember(members []statemachine.Member, bound time.Duration) (id string) {
 	for _, m := range members {
 		if at := t.contacts[m.ID].at; m.ID != t.s.acc.Identity().ID && time.Since(at) > bound && (id == "" || at.Before(t.contacts[id].at)) {
 			id = m.ID
@@ -42,15 +42,15 @@
 	}
 	t.mu.Unlock()
 	if !found {
-		g.Receipt = ledger.Receipt{Code: ledger.Absent, Say: "no such member"}
+		g.Receipt = statemachine.Result{Code: statemachine.Absent, Message: "no such member"}
 		return g, nil
 	}
 	if left := len(g.Members) - 1; left < 2 || stay < left {
 		s.e.Log.Emit(event.Unsafe, "member", in.ID, "left", left, "in_touch", stay)
-		g.Receipt = ledger.Receipt{Code: ledger.Conflict, Say: "the stores that stay would be without a majority"}
+		g.Receipt = statemachine.Result{Code: statemachine.Conflict, Message: "the stores that stay would be without a majority"}
 		return g, nil
 	}
-	p, err := ledger.Pack("store.remove", &ledger.RemoveStore{ID: in.ID})
+	p, err := statemachine.Pack("store.remove", &statemachine.RemoveMember{ID: in.ID})
 	if err != nil {
 		return g, fault.Wrap(fault.Refused, err, "remove")
 	}
@@ -67,7 +67,7 @@
 		return
 	}
 	s.mu.Lock()
-	lost := slices.ContainsFunc(s.state.Members, func(m ledger.Member) bool { return m.ID == vow.Candidate && m.Addr == addr })
+	lost := slices.ContainsFunc(s.state.Members, func(m statemachine.Member) bool { return m.ID == vow.Candidate && m.Addr == addr })
 	s.mu.Unlock()
 	if !lost {
 		return
--- a/internal/store/requests.go
+++ b/internal/store/requests.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // The time for which an answered request is remembered, as a ratio to the bound
@@ -17,14 +17,14 @@
 // proposed as they are, and an order that is sent again is judged by what stands
 // alone. learn is held.
 func (s *Store) wrapRequests(batch []*proposal) {
-	if s.level() < ledger.LevelRequests {
+	if s.level() < statemachine.LevelRequests {
 		return
 	}
 	for _, o := range batch {
 		if o.once == nil {
 			continue
 		}
-		p, err := ledger.Pack(ledger.KindRequest, &ledger.Request{ID: o.once.ID, Digest: o.once.Digest, Number: o.once.Number, Cmd: o.cmd})
+		p, err := statemachine.Pack(statemachine.KindRequest, &statemachine.Request{ID: o.once.ID, Digest: o.once.Digest, Number: o.once.Number, Cmd: o.cmd})
 		if err == nil {
 			o.cmd = p
 		}
@@ -34,10 +34,10 @@
 // raiseLevel proposes the level of this program's commands once all members and
 // learners are known to be of it.
 func (t *leadership) raiseLevel(ctx context.Context) {
-	if t.s.level() >= ledger.Level || !t.versed(ledger.Level) {
+	if t.s.level() >= statemachine.Level || !t.versed(statemachine.Level) {
 		return
 	}
-	if p, err := ledger.Pack("level.raise", &ledger.RaiseLevel{To: ledger.Level}); err == nil {
+	if p, err := statemachine.Pack("level.raise", &statemachine.RaiseLevel{To: statemachine.Level}); err == nil {
 		_, _ = t.propose(ctx, p)
 	}
 }
@@ -59,7 +59,7 @@
 
 // trimRequests gives the command that forgets requests answered too long ago, or
 // nil. mu is held.
-func (s *Store) trimRequests(now time.Time) ledger.Command {
+func (s *Store) trimRequests(now time.Time) statemachine.Command {
 	old := 0
 	for old < len(s.requestMarks) && now.Sub(s.requestMarks[old].at) > requestMemory*s.P.Return {
 		old++
@@ -72,5 +72,5 @@
 	if to <= s.state.Forgotten {
 		return nil
 	}
-	return &ledger.TrimRequests{To: to}
+	return &statemachine.CompactRequests{To: to}
 }
--- a/internal/store/seeds.go
+++ b/internal/store/seeds.go
@@ -12,7 +12,7 @@
 	s := t.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.Mesh}
+	return beatAsk{Num: t.num, Addr: s.P.Inner, Slot: s.slot, Sum: s.sum, Mesh: s.state.ClusterID}
 }
 
 // greetSeeds tells the seeds without a place, those not heard of as learners, who
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
@@ -104,18 +104,18 @@
 			return Given{}, fault.New(fault.Refused, "empty")
 		}
 		got, ok := s.state.Since(in.Name, in.From, 256)
-		turn, rev, oldest := s.applied, s.state.Rev, s.state.Oldest
+		turn, rev, oldest := s.applied, s.state.Revision, s.state.OldestRevision
 		s.mu.Unlock()
 		if !ok {
-			return Given{Done: true, Receipt: ledger.Receipt{Code: ledger.Gone, Rev: oldest}}, nil
+			return Given{Done: true, Receipt: statemachine.Result{Code: statemachine.Gone, Revision: oldest}}, nil
 		}
 		if len(got) > 0 {
-			return Given{Done: true, Receipt: ledger.Receipt{Code: ledger.OK, Changes: got, Rev: rev}}, nil
+			return Given{Done: true, Receipt: statemachine.Result{Code: statemachine.OK, Changes: got, Revision: rev}}, nil
 		}
 		select {
 		case <-turn:
 		case <-end.C:
-			return Given{Done: true, Receipt: ledger.Receipt{Code: ledger.OK, Rev: rev}}, nil
+			return Given{Done: true, Receipt: statemachine.Result{Code: statemachine.OK, Revision: rev}}, nil
 		case <-ctx.Done():
 			return Given{}, fault.New(fault.Refused, "no time left")
 		}
--- a/internal/store/shorten.go
+++ b/internal/store/shorten.go
@@ -1,6 +1,6 @@
 package store
 
-import "puffincrank/internal/ledger"
+import "puffincrank/internal/statemachine"
 
 // versed tells whether all who vote, and those who stand by, know a level of
 // the commands, each by its newest word in this term: one that stops at a
@@ -28,17 +28,17 @@
 func (t *leadership) shorten(batch []*proposal) {
 	for _, o := range batch {
 		switch o.in.(type) {
-		case *ledger.Propose, *ledger.Decide:
+		case *statemachine.Propose, *statemachine.Decide:
 			return
-		case *ledger.SetConfig, *ledger.NumberConfig:
-			if !t.versed(ledger.LevelSteps) {
+		case *statemachine.SetConfig, *statemachine.NumberConfig:
+			if !t.versed(statemachine.LevelSteps) {
 				return
 			}
 			t.s.mu.Lock()
 			now := t.s.state.Config()
 			t.s.mu.Unlock()
-			if c := ledger.Shorten(o.in, now); c != nil {
-				if p, err := ledger.Pack("config.step", c); err == nil {
+			if c := statemachine.Shorten(o.in, now); c != nil {
+				if p, err := statemachine.Pack("config.step", c); err == nil {
 					o.cmd = p
 				}
 			}
--- a/internal/store/shorten_test.go
+++ b/internal/store/shorten_test.go
@@ -8,8 +8,8 @@
 
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/disk"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 )
 
 // TestVersed: steps are proposed only while every voter and every learner is
@@ -27,13 +27,13 @@
 		t.Fatal(err)
 	}
 	doc := func(n int) []byte { return append(bytes.Repeat([]byte(`{"a":1}`), 60), fmt.Sprint(n)...) }
-	s := &Store{acc: acc, state: ledger.New("m", []ledger.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}})}
-	(&ledger.SetConfig{Doc: doc(1)}).Apply(s.state)
+	s := &Store{acc: acc, state: statemachine.New("m", []statemachine.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}})}
+	(&statemachine.SetConfig{Doc: doc(1)}).Apply(s.state)
 	kinds := func(t2 *leadership) string {
 		var batch []*proposal
 		for i := range 2 {
-			c := &ledger.NumberConfig{Number: uint64(7 + i), Doc: doc(2 + i)}
-			p, err := ledger.Pack("config.number", c)
+			c := &statemachine.NumberConfig{Number: uint64(7 + i), Doc: doc(2 + i)}
+			p, err := statemachine.Pack("config.number", c)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/store/size.go
+++ b/internal/store/size.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
 // largeState is the part of the bound on the state, in percent, from which on
@@ -25,11 +25,11 @@
 
 // grows tells whether a command may make the state larger. Whatever frees room,
 // or keeps the core itself going, is taken however full it is.
-func grows(c ledger.Command) bool {
+func grows(c statemachine.Command) bool {
 	switch c := c.(type) {
-	case *ledger.SetConfig, *ledger.NumberConfig, *ledger.Propose, *ledger.PutKey, *ledger.PutCell, *ledger.NextNumber:
+	case *statemachine.SetConfig, *statemachine.NumberConfig, *statemachine.Propose, *statemachine.PutKey, *statemachine.PutGroupKey, *statemachine.NextNumber:
 		return true
-	case *ledger.TakeLock:
+	case *statemachine.AcquireLock:
 		return !c.Renew
 	}
 	return false
@@ -38,7 +38,7 @@
 // fits tells whether a command may be proposed without the state outgrowing its
 // bound. Near the bound the state is measured anew, since much of what was
 // applied took the place of something else. learn is held.
-func (s *Store) fits(c ledger.Command, size int) bool {
+func (s *Store) fits(c statemachine.Command, size int) bool {
 	if !grows(c) {
 		return true
 	}
@@ -69,7 +69,7 @@
 	size := 0
 	for _, o := range batch {
 		if !s.fits(o.in, size+len(o.cmd.Body)) {
-			o.result <- outcome{receipt: ledger.Receipt{Code: ledger.Full, Say: "the replicated state is at its bound"}}
+			o.result <- outcome{receipt: statemachine.Result{Code: statemachine.Full, Message: "the replicated state is at its bound"}}
 			continue
 		}
 		size += len(o.cmd.Body)
--- a/internal/store/snapshot_test.go
+++ b/internal/store/snapshot_test.go
@@ -15,9 +15,9 @@
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
 	"puffincrank/internal/props"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
@@ -43,7 +43,7 @@
 func alone(t *testing.T) (*Store, *wire.Paved) {
 	t.Helper()
 	s, road := bare(t)
-	led := ledger.New("m", []ledger.Member{{ID: s.acc.Identity().ID, Addr: "me:1"}})
+	led := statemachine.New("m", []statemachine.Member{{ID: s.acc.Identity().ID, Addr: "me:1"}})
 	raw, err := led.Pack()
 	if err != nil {
 		t.Fatal(err)
@@ -55,10 +55,10 @@
 }
 
 // packedState is a snapshot of the store's own cluster with one change.
-func packedState(t *testing.T, s *Store, change func(*ledger.State)) []byte {
+func packedState(t *testing.T, s *Store, change func(*statemachine.State)) []byte {
 	t.Helper()
-	led := ledger.New("m", s.state.Members)
-	led.Rev = 77
+	led := statemachine.New("m", s.state.Members)
+	led.Revision = 77
 	change(led)
 	raw, err := led.Pack()
 	if err != nil {
@@ -73,19 +73,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := alone(t)
 		defer s.Kill()
-		same := packedState(t, s, func(*ledger.State) {})
+		same := packedState(t, s, func(*statemachine.State) {})
 		for _, c := range []struct {
 			name  string
 			point paxos.Snapshot
 			fault string
 		}{
 			{"newer format", paxos.Snapshot{Format: paxos.Format + 1, Index: 9, State: same}, "a snapshot of format 2, newer than 1"},
-			{"newer level", paxos.Snapshot{Index: 9, State: packedState(t, s, func(l *ledger.State) { l.Level = ledger.Level + 1 })}, "the state needs a program of level 3, this one is of 2"},
-			{"another cluster", paxos.Snapshot{Index: 9, State: packedState(t, s, func(l *ledger.State) { l.Mesh = "other" })}, "data of mesh other"},
+			{"newer level", paxos.Snapshot{Index: 9, State: packedState(t, s, func(l *statemachine.State) { l.Level = statemachine.Level + 1 })}, "the state needs a program of level 3, this one is of 2"},
+			{"another cluster", paxos.Snapshot{Index: 9, State: packedState(t, s, func(l *statemachine.State) { l.ClusterID = "other" })}, "data of mesh other"},
 			{"torn", paxos.Snapshot{Index: 9, State: same[:len(same)/2]}, "read checkpoint"},
 		} {
 			err := s.install(c.point, event.Refilled)
-			if err == nil || !strings.Contains(err.Error(), c.fault) || s.state.Rev == 77 || s.slot != 0 || s.acc.LatestSnapshot().Index != 0 {
+			if err == nil || !strings.Contains(err.Error(), c.fault) || s.state.Revision == 77 || s.slot != 0 || s.acc.LatestSnapshot().Index != 0 {
 				t.Errorf("%s: %v, slot %d", c.name, err, s.slot)
 			}
 		}
@@ -98,11 +98,11 @@
 // packedBatch is a batch of one command that changes nothing.
 func packedBatch(t *testing.T) []byte {
 	t.Helper()
-	p, err := ledger.Pack("noop", &ledger.Noop{})
+	p, err := statemachine.Pack("noop", &statemachine.Noop{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw, err := ledger.Batch{p}.Pack()
+	raw, err := statemachine.Batch{p}.Pack()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,9 +151,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, road := alone(t)
 		defer s.Kill()
-		led := ledger.New("m", s.state.Members)
-		led.Rev = 77
-		led.Keys["large"] = ledger.Key{Value: bytes.Repeat([]byte("x"), 3*snapshotChunk), Rev: 77}
+		led := statemachine.New("m", s.state.Members)
+		led.Revision = 77
+		led.Keys["large"] = statemachine.Key{Value: bytes.Repeat([]byte("x"), 3*snapshotChunk), Revision: 77}
 		state, err := led.Pack()
 		if err != nil {
 			t.Fatal(err)
@@ -195,8 +195,8 @@
 		} {
 			spoil = c.spoil
 			err := s.fetchSnapshot(t.Context(), "sender:1", c.head)
-			if !fault.Is(err, fault.Input) || !strings.Contains(err.Error(), c.fault) || s.state.Rev == 77 || s.loading != nil {
-				t.Errorf("%s: %v, revision %d", c.name, err, s.state.Rev)
+			if !fault.Is(err, fault.Input) || !strings.Contains(err.Error(), c.fault) || s.state.Revision == 77 || s.loading != nil {
+				t.Errorf("%s: %v, revision %d", c.name, err, s.state.Revision)
 			}
 		}
 		// The sender goes in the middle; what has come is kept.
@@ -210,8 +210,8 @@
 			t.Fatalf("a break: %v", err)
 		}
 		asked, spoil = 0, func(*chunkGot) error { return nil }
-		if err := s.fetchSnapshot(t.Context(), "sender:1", good); err != nil || s.state.Rev != 77 || s.slot != 9 {
-			t.Fatalf("after the break: %v, revision %d", err, s.state.Rev)
+		if err := s.fetchSnapshot(t.Context(), "sender:1", good); err != nil || s.state.Revision != 77 || s.slot != 9 {
+			t.Fatalf("after the break: %v, revision %d", err, s.state.Revision)
 		}
 		if asked != 2 {
 			t.Errorf("%d chunks were fetched after the break", asked)
--- a/internal/store/split_test.go
+++ b/internal/store/split_test.go
@@ -10,8 +10,8 @@
 	"puffincrank/internal/disk"
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/props"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/task"
 	"puffincrank/internal/wire"
 )
@@ -32,8 +32,8 @@
 			t.Fatal(err)
 		}
 		defer s.Kill()
-		s.state = ledger.New("m", nil)
-		s.state.Members = append(s.state.Members, ledger.Member{ID: s.acc.Identity().ID, Addr: "me:1"}, ledger.Member{ID: "w", Addr: "w:1"})
+		s.state = statemachine.New("m", nil)
+		s.state.Members = append(s.state.Members, statemachine.Member{ID: s.acc.Identity().ID, Addr: "me:1"}, statemachine.Member{ID: "w", Addr: "w:1"})
 		type said struct {
 			at  time.Time
 			num ballot.Number
@@ -42,7 +42,7 @@
 		g := task.New(context.Background())
 		defer g.Stop()
 		for _, id := range []string{"b", "c", "d"} {
-			s.state.Members = append(s.state.Members, ledger.Member{ID: id, Addr: id + ":1"})
+			s.state.Members = append(s.state.Members, statemachine.Member{ID: id, Addr: id + ":1"})
 			n := wire.NewNode(wire.Hello{Mesh: "m", Node: id}, env.Env{Net: road, Wall: time.Now, Log: event.New(id, nil)}, g, 1<<20, 8, time.Second)
 			wire.On(n, "store.ballot", func(_ context.Context, _ wire.Hello, in ballotAsk) (ballotVote, error) {
 				if in.Real {
--- a/internal/store/spread.go
+++ b/internal/store/spread.go
@@ -5,14 +5,14 @@
 	"maps"
 	"slices"
 
-	"puffincrank/internal/ledger"
+	"puffincrank/internal/statemachine"
 )
 
-func areaOf(m ledger.Member) string   { return m.Area }
-func regionOf(m ledger.Member) string { return m.Land }
+func areaOf(m statemachine.Member) string   { return m.Zone }
+func regionOf(m statemachine.Member) string { return m.Region }
 
 // countSharing counts the members that share a member's area or region, without one.
-func countSharing(all []ledger.Member, of func(ledger.Member) string, m ledger.Member, without string) (n int) {
+func countSharing(all []statemachine.Member, of func(statemachine.Member) string, m statemachine.Member, without string) (n int) {
 	for _, o := range all {
 		if of(o) == of(m) && o.ID != without {
 			n++
@@ -22,13 +22,13 @@
 }
 
 // compareSharing compares two by how many vote in their regions, then in their areas.
-func compareSharing(all []ledger.Member, a, b ledger.Member, without string) int {
+func compareSharing(all []statemachine.Member, a, b statemachine.Member, without string) int {
 	return cmp.Or(countSharing(all, regionOf, a, without)-countSharing(all, regionOf, b, without), countSharing(all, areaOf, a, without)-countSharing(all, areaOf, b, without))
 }
 
 // excessVotes is by how many votes the loss of the so many fullest areas or regions
 // leaves the others short of a majority; 0 when they have one.
-func excessVotes(all []ledger.Member, of func(ledger.Member) string, bear int) int {
+func excessVotes(all []statemachine.Member, of func(statemachine.Member) string, bear int) int {
 	count := map[string]int{}
 	for _, m := range all {
 		count[of(m)]++
@@ -43,14 +43,14 @@
 
 // missingTolerance is how far the members are from bearing what the props name: areas and
 // regions by themselves, as the loss of one or the other is to be borne.
-func (s *Store) missingTolerance(all []ledger.Member) int {
+func (s *Store) missingTolerance(all []statemachine.Member) int {
 	return excessVotes(all, areaOf, s.P.BearAreas) + excessVotes(all, regionOf, s.P.BearRegions)
 }
 
 // memberToMove names the member that is to give way to a learner of another area or
 // region, so that the others bear more; none if it would be no better. The
 // leader stays: its going would cost a ballot.
-func (s *Store) memberToMove(all []ledger.Member, in ledger.Member) (old string) {
+func (s *Store) memberToMove(all []statemachine.Member, in statemachine.Member) (old string) {
 	least := s.missingTolerance(all)
 	if least == 0 {
 		return ""
--- a/internal/store/steps.go
+++ b/internal/store/steps.go
@@ -1,14 +1,14 @@
 package store
 
 import (
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/patch"
+	"puffincrank/internal/statemachine"
 )
 
 // stepped gives a poll the step from the document that the asker has in the
 // place of the whole, if both are kept and it is worth it. All registries ask
 // for the same one, so the last is kept. mu is held.
-func (s *Store) stepped(in Query, r ledger.Receipt) ledger.Receipt {
+func (s *Store) stepped(in Query, r statemachine.Result) statemachine.Result {
 	if !in.Patch || in.What != "config" || r.Doc == nil || in.From == 0 {
 		return r
 	}
--- a/internal/store/steps_test.go
+++ b/internal/store/steps_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/patch"
+	"puffincrank/internal/statemachine"
 )
 
 // TestStepped: who polls with an entry that is kept gets the step from there,
@@ -20,10 +20,10 @@
 		}
 		return []byte(strings.Join(rows, ","))
 	}
-	s := &Store{state: ledger.New("m", nil)}
+	s := &Store{state: statemachine.New("m", nil)}
 	docs := [][]byte{doc(1), append(doc(1), `,{"name":"more"}`...), doc(7)}
 	for i, d := range docs {
-		(&ledger.SetConfig{Base: uint64(i), Doc: d}).Apply(s.state)
+		(&statemachine.SetConfig{Base: uint64(i), Doc: d}).Apply(s.state)
 	}
 	held := patch.NewHeld(4)
 	for i, c := range []struct {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,12 +13,12 @@
 	"puffincrank/internal/ballot"
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/patch"
 	"puffincrank/internal/paxos"
 	"puffincrank/internal/props"
 	"puffincrank/internal/pulse"
 	"puffincrank/internal/state"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/task"
 	"puffincrank/internal/trace"
 	"puffincrank/internal/wire"
@@ -44,7 +44,7 @@
 	mu sync.Mutex // guards all fields below but loading, which learn guards
 
 	// The applied state.
-	state   *ledger.State
+	state   *statemachine.State
 	slot    uint64
 	sum     []byte
 	applied chan struct{} // closed at each applied entry
@@ -157,7 +157,7 @@
 }
 
 // apply runs one chosen entry; the caller holds learn.
-func (s *Store) apply(e *paxos.Entry) ([]ledger.Receipt, error) {
+func (s *Store) apply(e *paxos.Entry) ([]statemachine.Result, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cmds, out, err := s.state.Apply(e.Batch)
--- a/internal/store/vote.go
+++ b/internal/store/vote.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/ledger"
 	"puffincrank/internal/paxos"
+	"puffincrank/internal/statemachine"
 	"puffincrank/internal/wire"
 )
 
@@ -34,12 +34,12 @@
 // isForeign tells that a message is of a cluster that was founded apart from ours,
 // though it has our cluster's name: nothing of it is heeded. mu is held.
 func (s *Store) isForeign(mesh string, who string) bool {
-	if mesh == "" || s.state == nil || mesh == s.state.Mesh {
+	if mesh == "" || s.state == nil || mesh == s.state.ClusterID {
 		return false
 	}
 	if time.Since(s.foreignWarned) > s.P.Return {
 		s.foreignWarned = time.Now()
-		s.e.Log.Emit(event.Foreign, "mesh", mesh, "own", s.state.Mesh, "from", who)
+		s.e.Log.Emit(event.Foreign, "mesh", mesh, "own", s.state.ClusterID, "from", who)
 	}
 	return true
 }
@@ -90,7 +90,7 @@
 
 func (s *Store) onAccept(ctx context.Context, _ wire.Hello, in acceptAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Identity().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
+	a := ack{ID: s.acc.Identity().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: statemachine.Level, Going: s.leaving}
 	// While a write hangs, the next would only queue up behind it.
 	able := s.votes() && !s.leaving && in.Entry.Index > s.slot && !s.diskHangs() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
@@ -157,7 +157,7 @@
 
 func (s *Store) onBeat(_ context.Context, _ wire.Hello, in beatAsk) (ack, error) {
 	s.mu.Lock()
-	a := ack{ID: s.acc.Identity().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: ledger.Level, Going: s.leaving}
+	a := ack{ID: s.acc.Identity().ID, Slot: s.slot, Ill: s.diskIll || s.diskHangs(), Knows: statemachine.Level, Going: s.leaving}
 	able := s.votes() && !s.isForeign(in.Mesh, in.Addr)
 	s.mu.Unlock()
 	if !able {
