--- a/internal/registry/abort.go
+++ b/internal/registry/abort.go
@@ -19,15 +19,15 @@
 		outer.JSON(w, http.StatusNotFound, outer.Wrong{Wrong: "no such trial"})
 		return
 	}
-	key := requestKey(w, req, "abort", []byte(who(req)), []byte(chi.URLParam(req, "id")))
+	key := requestKey(w, req, "abort", []byte(operatorOf(req)), []byte(chi.URLParam(req, "id")))
 	if key == nil {
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	earlier, known, err := r.earlierAnswer(ctx, key)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if known {
@@ -36,21 +36,21 @@
 	}
 	now, err := r.confirmed(ctx)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	doc, err := rules.Settle(now.Doc, id, false)
 	if err != nil {
-		refuse(w, err.Error(), nil)
+		answerWrong(w, err.Error(), nil)
 		return
 	}
-	got, err := r.stores.offerOnce(ctx, "trial.decide", &statemachine.Decide{ID: id, Base: now.Version, Doc: doc, State: statemachine.Held, Why: "aborted by " + who(req), Who: who(req)}, key)
+	got, err := r.stores.proposeOnce(ctx, "trial.decide", &statemachine.Decide{ID: id, Base: now.Version, Doc: doc, State: statemachine.Held, Why: "aborted by " + operatorOf(req), Who: operatorOf(req)}, key)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code == statemachine.OK {
-		r.e.Log.Emit(event.HeldBack, "trial", id, "version", got.Version, "why", "aborted by "+who(req))
+		r.e.Log.Emit(event.HeldBack, "trial", id, "version", got.Version, "why", "aborted by "+operatorOf(req))
 	}
 	answer(w, got, map[string]any{"version": got.Version, "trial": id})
 }
--- a/internal/registry/app.go
+++ b/internal/registry/app.go
@@ -47,7 +47,7 @@
 	}
 	name, err := url.PathUnescape(chi.URLParam(req, "name"))
 	if err != nil || appName(name) != nil {
-		refuse(w, "the name "+badName{}.Error(), nil)
+		answerWrong(w, "the name "+badName{}.Error(), nil)
 		return c, false
 	}
 	c.name = name
@@ -70,7 +70,7 @@
 	}
 	v, more := tab.ReadKnown(in, "")
 	if bad = append(bad, more...); len(bad) > 0 {
-		refuse(w, "the body is wrong", bad)
+		answerWrong(w, "the body is wrong", bad)
 		return c, false
 	}
 	c.v = v
@@ -86,15 +86,15 @@
 		outer.Busy(w, "frozen until just now; nothing was done", r.P.Beat())
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
-	got, err := r.stores.offerBy(ctx, kind, cmd, c.by)
+	got, err := r.stores.proposeBefore(ctx, kind, cmd, c.by)
 	r.appAnswer(w, got, err, codes, body)
 }
 
 func (r *Registry) appAnswer(w http.ResponseWriter, got statemachine.Result, err error, codes map[string]int, body func(statemachine.Result) map[string]any) {
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code == statemachine.Full {
@@ -168,7 +168,7 @@
 	if !ok {
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "cell", Name: c.name})
 	r.appAnswer(w, got, err, map[string]int{statemachine.Absent: http.StatusNotFound}, func(got statemachine.Result) map[string]any {
@@ -196,7 +196,7 @@
 	}
 	after, wait := num("after"), time.Duration(min(num("wait_ms"), uint64(r.P.Return.Milliseconds())))*time.Millisecond
 	if !ok {
-		refuse(w, "after and wait_ms must be whole numbers", nil)
+		answerWrong(w, "after and wait_ms must be whole numbers", nil)
 		return
 	}
 	long := wait + 2*r.P.Change
@@ -207,7 +207,7 @@
 	}
 	ctx, end := context.WithTimeout(req.Context(), long)
 	defer end()
-	got, err := r.stores.puts(ctx, store.Query{What: "puts", Name: c.name, From: after}, wait, r.P.Change)
+	got, err := r.stores.groupPuts(ctx, store.Query{What: "puts", Name: c.name, From: after}, wait, r.P.Change)
 	r.appAnswer(w, got, err, map[string]int{statemachine.Gone: http.StatusGone}, func(got statemachine.Result) map[string]any {
 		type line struct {
 			Name  string `json:"name"`
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -25,7 +25,7 @@
 	}
 	base, err := strconv.ParseUint(q.Get("based_on"), 10, 64)
 	if err != nil {
-		refuse(w, "based_on must name the version that the document is based on", nil)
+		answerWrong(w, "based_on must name the version that the document is based on", nil)
 		return
 	}
 	raw, c := r.readDoc(w, req)
@@ -33,11 +33,11 @@
 		return
 	}
 	now := q.Get("emergency") == "true"
-	key := requestKey(w, req, "config", []byte(who(req)), []byte(q.Get("based_on")), []byte(q.Get("emergency")), raw)
+	key := requestKey(w, req, "config", []byte(operatorOf(req)), []byte(q.Get("based_on")), []byte(q.Get("emergency")), raw)
 	if key == nil {
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	if r.answerEarlier(ctx, w, key) {
 		return
@@ -45,10 +45,10 @@
 	if !now && base > 0 {
 		old, err := r.confirmed(ctx)
 		if err != nil {
-			r.failed(w, err)
+			r.answerFailure(w, err)
 			return
 		}
-		if old.Version == base && r.rehearse(ctx, w, req, key, old, raw) {
+		if old.Version == base && r.checkChange(ctx, w, req, key, old, raw) {
 			return
 		}
 	}
@@ -56,43 +56,43 @@
 	if now {
 		why = "applied whole as an emergency"
 	}
-	got, err := r.stores.offerOnce(ctx, "config.set", &statemachine.SetConfig{Base: base, Doc: raw, Who: who(req), Why: why, Now: now}, key)
+	got, err := r.stores.proposeOnce(ctx, "config.set", &statemachine.SetConfig{Base: base, Doc: raw, Who: operatorOf(req), Why: why, Now: now}, key)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code == statemachine.OK && now {
-		r.e.Log.Emit(event.Emergency, "version", got.Version, "who", who(req))
+		r.e.Log.Emit(event.Emergency, "version", got.Version, "who", operatorOf(req))
 	}
 	if got.Code == statemachine.OK {
-		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
+		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", operatorOf(req))
 	}
 	answerOrder(w, got, nil)
 }
 
-// rehearse begins a trial for a whole document's changed live paths; false
+// checkChange begins a trial for a whole document's changed live paths; false
 // means that there are none.
-func (r *Registry) rehearse(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, old statemachine.Result, raw []byte) bool {
+func (r *Registry) checkChange(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, old statemachine.Result, raw []byte) bool {
 	for _, t := range old.Trials {
 		if t.State == statemachine.Running {
 			outer.JSON(w, http.StatusConflict, outer.Wrong{Wrong: fmt.Sprintf("trial %d runs: wait, abort it, or apply as an emergency", t.ID), Version: old.Version})
 			return true
 		}
 	}
-	doc, paths, err := rules.Rehearse(old.Doc, raw, old.Number+1, live(r.reports(ctx)))
+	doc, paths, err := rules.Rehearse(old.Doc, raw, old.Number+1, liveReports(r.reports(ctx)))
 	if err != nil || len(paths) == 0 {
 		return false
 	}
 	c, bad, err := rules.Compile(old.Version+1, doc)
 	if err != nil || len(bad) > 0 {
-		refuse(w, "a path with traffic is rehearsed first, and its old arm needs what the document drops; keep that until the trial ends, or apply as an emergency", bad)
+		answerWrong(w, "a path with traffic is rehearsed first, and its old arm needs what the document drops; keep that until the trial ends, or apply as an emergency", bad)
 		return true
 	}
-	r.begin(ctx, w, req, key, &statemachine.Propose{ID: old.Number + 1, Base: old.Version, Doc: doc, Paths: paths, Slice: c.Judge.Share("slice"), Who: who(req)})
+	r.begin(ctx, w, req, key, &statemachine.Propose{ID: old.Number + 1, Base: old.Version, Doc: doc, Paths: paths, Slice: c.Judge.Share("slice"), Who: operatorOf(req)})
 	return true
 }
 
-func who(req *http.Request) string {
+func operatorOf(req *http.Request) string {
 	if s := req.URL.Query().Get("who"); s != "" && len(s) <= 64 {
 		return s
 	}
@@ -100,12 +100,12 @@
 }
 
 func (r *Registry) getHistory(w http.ResponseWriter, req *http.Request) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	from, _ := strconv.ParseUint(req.URL.Query().Get("version"), 10, 64)
 	got, err := r.stores.read(ctx, store.Query{What: "history", From: from})
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	type row struct {
--- a/internal/registry/coord.go
+++ b/internal/registry/coord.go
@@ -19,24 +19,24 @@
 		{Name: "fence", Type: settings.Count, Def: int64(0), Check: settings.In(0, 1<<62), Rule: "a number", Help: "the fence got when it was taken; needed to renew"},
 	}}
 	TabKey = settings.Table{Name: "key", Rows: []settings.Setting{
-		{Name: "value", Type: settings.Text, Must: true, Check: small, Rule: "64 KiB at the most", Help: "the value"},
+		{Name: "value", Type: settings.Text, Must: true, Check: checkValueSize, Rule: "64 KiB at the most", Help: "the value"},
 		{Name: "if_rev", Type: settings.Count, Check: settings.In(0, 1<<62), Rule: "a revision; 0: must not be there", Help: "only when the key's revision is this"},
 	}}
 )
 
-type tooBig struct{}
+type errValueTooLarge struct{}
 
-func (tooBig) Error() string { return "must be 64 KiB at the most" }
+func (errValueTooLarge) Error() string { return "must be 64 KiB at the most" }
 
-func small(v any) error {
+func checkValueSize(v any) error {
 	if s, _ := v.(string); len(s) > 64<<10 {
-		return tooBig{}
+		return errValueTooLarge{}
 	}
 	return nil
 }
 
-// fields reads a small JSON body by a table.
-func fields(w http.ResponseWriter, req *http.Request, tab settings.Table) (settings.Values, bool) {
+// readFields reads a small JSON body by a table.
+func readFields(w http.ResponseWriter, req *http.Request, tab settings.Table) (settings.Values, bool) {
 	raw, code := outer.Body(w, req, 256<<10)
 	if code != 0 {
 		outer.JSON(w, code, outer.Wrong{Wrong: "the body is over the bound or can't be read"})
@@ -69,22 +69,22 @@
 
 // change offers a command and answers with what body makes of the receipt.
 func (r *Registry) change(w http.ResponseWriter, req *http.Request, kind string, cmd statemachine.Command, body func(statemachine.Result) map[string]any) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
-	got, err := r.stores.offer(ctx, kind, cmd)
+	got, err := r.stores.propose(ctx, kind, cmd)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	answer(w, got, body(got))
 }
 
 func (r *Registry) query(w http.ResponseWriter, req *http.Request, q store.Query, body func(statemachine.Result) map[string]any) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	got, err := r.stores.read(ctx, q)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	answer(w, got, body(got))
@@ -120,7 +120,7 @@
 		outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: "the lock's name is wrong"})
 		return
 	}
-	v, ok := fields(w, req, TabLock)
+	v, ok := readFields(w, req, TabLock)
 	if !ok {
 		return
 	}
--- a/internal/registry/duty.go
+++ b/internal/registry/election.go
@@ -14,9 +14,9 @@
 	"puffincrank/internal/wire"
 )
 
-// duty is one that a single control node does, won by a round of ballots with
+// roleElection is one that a single control node does, won by a round of ballots with
 // the stores as voters each time it falls vacant.
-type duty struct {
+type roleElection struct {
 	r     *Registry
 	name  string
 	work  func(ctx context.Context, num ballot.Number)
@@ -27,38 +27,38 @@
 	seen  uint64
 }
 
-func newDuty(r *Registry, name string, work func(context.Context, ballot.Number)) *duty {
-	return &duty{r: r, name: name, work: work}
+func newRoleElection(r *Registry, name string, work func(context.Context, ballot.Number)) *roleElection {
+	return &roleElection{r: r, name: name, work: work}
 }
 
-// holds gives the ballot while the duty is held.
-func (d *duty) holds() (ballot.Number, bool) {
+// leads gives the ballot while the role is held.
+func (d *roleElection) leads() (ballot.Number, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.num, d.held && time.Since(d.major) < d.r.P.Lease()
 }
 
-func (d *duty) run(ctx context.Context) {
+func (d *roleElection) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if num, ok := d.holds(); ok {
+		if num, ok := d.leads(); ok {
 			d.r.e.Pause(ctx, d.r.P.Beat())
 			if d.vote(ctx, "beat", num) {
 				d.work(ctx, num)
-			} else if _, still := d.holds(); !still {
-				d.lose("no majority of the stores")
+			} else if _, still := d.leads(); !still {
+				d.stepDown("no majority of the stores")
 			}
 			continue
 		}
-		d.lose("the lease ran out")
+		d.stepDown("the lease ran out")
 		d.r.e.Pause(ctx, d.r.P.Lease()/2+time.Duration(rand.Int64N(int64(d.r.P.Lease()))))
 		if !d.r.Ready() {
 			continue
 		}
-		d.stand(ctx)
+		d.campaign(ctx)
 	}
 }
 
-func (d *duty) lose(why string) {
+func (d *roleElection) stepDown(why string) {
 	d.mu.Lock()
 	was := d.held
 	d.held = false
@@ -68,9 +68,9 @@
 	}
 }
 
-// stand is one try to win the duty. The number goes into the log as a fence
+// campaign is one try to win the role. The number goes into the log as a fence
 // before any work, so that an earlier holder's late word is refused.
-func (d *duty) stand(ctx context.Context) {
+func (d *roleElection) campaign(ctx context.Context) {
 	d.mu.Lock()
 	num := ballot.Number{Round: d.seen + 1, Candidate: d.r.P.Node}
 	d.mu.Unlock()
@@ -80,7 +80,7 @@
 	}
 	one, end := context.WithTimeout(ctx, d.r.P.Lease())
 	defer end()
-	got, err := d.r.stores.offer(one, "duty.fence", &statemachine.FenceRole{Role: d.name, Ballot: num})
+	got, err := d.r.stores.propose(one, "duty.fence", &statemachine.FenceRole{Role: d.name, Ballot: num})
 	if err != nil || got.Code != statemachine.OK {
 		return
 	}
@@ -91,12 +91,12 @@
 }
 
 // vote asks all stores and counts a majority of yes.
-func (d *duty) vote(ctx context.Context, op string, num ballot.Number) bool {
+func (d *roleElection) vote(ctx context.Context, op string, num ballot.Number) bool {
 	from := time.Now()
 	ctx, end := context.WithTimeout(ctx, d.r.P.Patience())
 	defer end()
 	d.r.stores.mu.Lock()
-	all := d.r.stores.all
+	all := d.r.stores.members
 	d.r.stores.mu.Unlock()
 	if len(all) == 0 {
 		return false
@@ -122,20 +122,20 @@
 	return true
 }
 
-// vacate gives the duty up at once.
-func (d *duty) vacate() {
-	num, ok := d.holds()
+// vacate gives the role up at once.
+func (d *roleElection) vacate() {
+	num, ok := d.leads()
 	if !ok {
 		return
 	}
-	d.lose("handed on")
+	d.stepDown("handed on")
 	d.vote(d.r.g.Context(), "vacate", num)
 }
 
-// steward retires the entries of nodes that have no session with any control
+// retireNodes retires the entries of nodes that have no session with any control
 // node in touch for the retire bound, counted only while the steward itself
 // is in touch with a majority.
-func (r *Registry) steward(_ context.Context, num ballot.Number) {
+func (r *Registry) retireNodes(_ context.Context, num ballot.Number) {
 	if !r.inTouch() {
 		r.mu.Lock()
 		r.away = map[string]time.Time{}
--- a/internal/registry/judge.go
+++ b/internal/registry/judge.go
@@ -57,8 +57,8 @@
 	return out
 }
 
-// bounds reads the judge's bounds from the configuration.
-func bounds(v settings.Values) judge.Bounds {
+// judgeBounds reads the judge's bounds from the configuration.
+func judgeBounds(v settings.Values) judge.Bounds {
 	ms := func(n string) time.Duration { return time.Duration(v.Count(n)) * time.Millisecond }
 	return judge.Bounds{Jobs: uint64(v.Count("least_jobs")), Least: ms("least_ms"), Most: ms("most_ms"),
 		Risk: v.Share("risk"), Margin: v.Share("fail_margin"), Slow: v.Share("slow_ratio"), Quantile: v.Share("quantile")}
@@ -88,7 +88,7 @@
 	return out
 }
 
-// judge is the duty that ends trials. It goes on from the reports of the
+// judge is the role that ends trials. It goes on from the reports of the
 // standing sessions, so a judge that takes over half-way needs nothing from
 // the one before.
 func (r *Registry) judge(ctx context.Context, num ballot.Number) {
@@ -123,7 +123,7 @@
 		k := reportKey{rep.Node, rep.Start}
 		// A front that changed its control node is in two lists for a moment;
 		// the higher count is the newer.
-		if jobs(rep) >= jobs(now[k]) {
+		if requestsOf(rep) >= requestsOf(now[k]) {
 			now[k] = rep
 		}
 	}
@@ -135,11 +135,11 @@
 	r.seenOf = now
 	r.mu.Unlock()
 	for _, t := range run {
-		r.decide(ctx, t, r.weigh(t, all, bounds(rl.Judge)), num, rl)
+		r.decide(ctx, t, r.weigh(t, all, judgeBounds(rl.Judge)), num, rl)
 	}
 }
 
-func jobs(r session.Report) uint64 {
+func requestsOf(r session.Report) uint64 {
 	n := uint64(0)
 	for _, t := range r.Tallies {
 		n += t.Done + t.Failed + t.Unknown + t.Refused + 1
@@ -181,7 +181,7 @@
 	}
 	ctx, end := context.WithTimeout(ctx, r.P.Change)
 	defer end()
-	got, err := r.stores.offer(ctx, "trial.decide", &statemachine.Decide{ID: t.ID, Ballot: num, Base: rl.Version, Doc: doc, State: state, Why: why, Who: "judge", Facts: raw})
+	got, err := r.stores.propose(ctx, "trial.decide", &statemachine.Decide{ID: t.ID, Ballot: num, Base: rl.Version, Doc: doc, State: state, Why: why, Who: "judge", Facts: raw})
 	if err != nil || got.Code != statemachine.OK {
 		// Looked at again at the next beat, on what then stands.
 		return
--- a/internal/registry/keys.go
+++ b/internal/registry/keys.go
@@ -52,7 +52,7 @@
 	if !ok {
 		return
 	}
-	v, ok := fields(w, req, TabKey)
+	v, ok := readFields(w, req, TabKey)
 	if !ok {
 		return
 	}
@@ -86,12 +86,12 @@
 		outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: "from must be a revision from 1 on, wait_ms a number"})
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	wait = min(max(wait, 0), r.P.Change.Milliseconds())
 	got, err := r.stores.watch(ctx, store.Query{Name: q.Get("prefix"), From: from, Wait: wait})
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code == statemachine.Gone {
--- a/internal/registry/near.go
+++ b/internal/registry/near.go
@@ -51,10 +51,10 @@
 	return r.coreLocked()
 }
 
-// fellows gives the control nodes to share with: those heard, those that they
+// peers gives the control nodes to share with: those heard, those that they
 // hear, and the seeds. A seed that is not heard may be gone for good; it is
 // tried now and then, and tells of itself when it comes. mu is held.
-func (r *Registry) fellows() []string {
+func (r *Registry) peers() []string {
 	to, _ := r.near()
 	r.shares++
 	if len(to) == 1 || r.shares%5 == 0 {
@@ -70,7 +70,7 @@
 	return to
 }
 
-// meet notes control nodes that a fellow hears itself. Word of them goes no
+// meet notes control nodes that a peer hears itself. Word of them goes no
 // further until this node hears them too, so that a dead one is forgotten.
 func (r *Registry) meet(near []string) {
 	r.mu.Lock()
--- a/internal/registry/number.go
+++ b/internal/registry/number.go
@@ -36,18 +36,18 @@
 		return
 	}
 	key := numberKey(c.Number, raw)
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	got, known, err := r.knownNumber(ctx, key)
 	if err == nil && !known {
-		got, err = r.stores.offerOnce(ctx, "config.number", &statemachine.NumberConfig{Number: c.Number, Doc: raw, Who: who(req), Why: "applied whole by its number"}, key)
+		got, err = r.stores.proposeOnce(ctx, "config.number", &statemachine.NumberConfig{Number: c.Number, Doc: raw, Who: operatorOf(req), Why: "applied whole by its number"}, key)
 	}
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code == statemachine.OK && got.Version == c.Number && !known && got.Message == "" {
-		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", who(req))
+		r.e.Log.Emit(event.ConfigSet, "version", got.Version, "who", operatorOf(req))
 	}
 	answerOrder(w, got, nil)
 }
@@ -63,11 +63,11 @@
 
 // sentConfig gives the newest document byte for byte as an operator sent it.
 func (r *Registry) sentConfig(w http.ResponseWriter, req *http.Request) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "sent"})
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code != statemachine.OK {
--- a/internal/registry/poll.go
+++ b/internal/registry/poll.go
@@ -26,7 +26,7 @@
 			wait = 0
 		}
 		r.mu.Unlock()
-		// Time for a second store when the first is mute.
+		// Time for a second store when the first is unreachable.
 		one, end := context.WithTimeout(ctx, 2*r.P.Patience())
 		from := time.Now()
 		got, err := r.stores.read(one, store.Query{What: "config", From: have, Wait: wait.Milliseconds(), Patch: !r.whole})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry is the control node on each core machine: it holds the
-// sessions of the proxies, a replica of the service registry, the duties of
+// sessions of the proxies, a replica of the service registry, the roles of
 // judge and steward, and takes the outside calls for the store as well.
 package registry
 
@@ -43,11 +43,11 @@
 	routes http.Handler
 	calls  atomic.Int64 // outside calls under way
 	pulse  *pulse.Pulse
-	duties []*duty
+	duties []*roleElection
 
 	mu     sync.Mutex
-	own    map[string]*seat   // node to its session here
-	others map[string]*shared // control node to its word on its sessions
+	own    map[string]*nodeSession // node to its session here
+	others map[string]*shared      // control node to its word on its sessions
 	shares int
 	rounds int
 	list   struct {
@@ -62,7 +62,7 @@
 		to   uint64
 		from map[uint64][]byte // differences to the list of now, packed
 	}
-	known   map[string]time.Time // control node, by its inner address, to when a fellow named it
+	known   map[string]time.Time // control node, by its inner address, to when a peer named it
 	roll    *member.Roll         // the members, by all sessions
 	mine    *member.Roll         // those of the sessions here
 	told    uint64               // the hash of mine that the other control nodes were told last
@@ -88,16 +88,16 @@
 // New readies a registry.
 func New(p props.Props, e env.Env) *Registry {
 	g := task.New(context.Background()).Pace(e.Pause)
-	r := &Registry{P: p, e: e, g: g, own: map[string]*seat{}, others: map[string]*shared{}, known: map[string]time.Time{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
+	r := &Registry{P: p, e: e, g: g, own: map[string]*nodeSession{}, others: map[string]*shared{}, known: map[string]time.Time{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
 	var b [6]byte
 	_, _ = rand.Read(b[:])
 	r.self = member.Fellow{Node: p.Node, Start: hex.EncodeToString(b[:]), Role: "registry", Area: p.Area, Inner: p.Inner, Outer: p.Outer}
-	r.roll, r.mine = member.NewRoll(p.Node, changes), member.NewRoll(p.Node, changes)
+	r.roll, r.mine = member.NewRoll(p.Node, memberChangesKept), member.NewRoll(p.Node, memberChangesKept)
 	r.roll.Set(p.Node, r.self)
 	r.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "registry"}, e, g, p.Frame, p.Jobs, p.Patience())
 	r.n.Bound = p.Links()
 	r.rep = replica.New(r.self, r.n, g, e.Log, hlc.New(e.Wall, 2*p.Return), p.Beat(), p.Repair(), p.Bury())
-	r.held = patch.NewHeld(changes / 16)
+	r.held = patch.NewHeld(memberChangesKept / 16)
 	r.rep.Await(true)
 	r.stores = newStores(r.n, p.Stores, p.Patience(), p.Beat()/4)
 	r.pulse = pulse.New(p.Beat(), p.Doze(), nil)
@@ -109,7 +109,7 @@
 		state.Move{From: "lost", By: "stop", To: "leaving"},
 		state.Move{From: "ready", By: "stop", To: "leaving"},
 		state.Move{From: "leaving", By: "shut", To: "shut"})
-	r.duties = []*duty{newDuty(r, "steward", r.steward), newDuty(r, "judge", r.judge)}
+	r.duties = []*roleElection{newRoleElection(r, "steward", r.retireNodes), newRoleElection(r, "judge", r.judge)}
 	r.rep.Subscribe(func(n replica.News) {
 		k := map[string]event.Kind{"registered": event.Registered, "unregistered": event.Unregistered, "down": event.Down}[n.Kind]
 		e.Log.Emit(k, "service", n.Entry.Service, "worker", n.Entry.Worker, "owner", n.Entry.Owner, "why", n.Why)
@@ -135,7 +135,7 @@
 	r.e.Log.Emit(event.Started, "program", "registry", "outer", r.P.Outer)
 	r.g.Go("poll", r.poll)
 	r.g.Every("share", r.P.Beat(), r.share)
-	r.g.Every("keep", r.P.Beat(), r.keep)
+	r.g.Every("keep", r.P.Beat(), r.saveWorkers)
 	r.g.Go("pulse", func(ctx context.Context) { r.pulse.Run(ctx, r.e.Pause) })
 	for _, d := range r.duties {
 		r.g.Go("duty-"+d.name, d.run)
@@ -150,8 +150,8 @@
 	return !r.sure.IsZero() && time.Since(r.sure) <= r.P.Fresh()
 }
 
-// fill makes the node ready once its replica is filled from a fellow; when no
-// fellow answers it goes on with what the proxies' repairs bring.
+// fill makes the node ready once its replica is filled from a peer; when no
+// peer answers it goes on with what the proxies' repairs bring.
 func (r *Registry) fill(ctx context.Context) {
 	if r.life.Is("ready", "leaving", "shut") {
 		return
@@ -173,7 +173,7 @@
 				break
 			}
 		}
-		r.recall()
+		r.loadWorkers()
 	}
 	r.rep.Await(false)
 	r.rep.Sound(time.Now().Add(r.P.Session()))
@@ -189,7 +189,7 @@
 	r.g.Stop()
 }
 
-// Stop ends politely: duties are handed on, the proxies go elsewhere.
+// Stop ends politely: roles are handed on, the proxies go elsewhere.
 func (r *Registry) Stop() {
 	r.e.Log.Emit(event.Stopping, "program", "registry")
 	if !r.life.Fire("stop") {
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -26,7 +26,7 @@
 		return &store.RequestKey{ID: kind + "/" + hex.EncodeToString(digest[:16]), Digest: digest}
 	}
 	if err := settings.Word(id); err != nil {
-		refuse(w, requestIDParameter+" "+err.Error(), nil)
+		answerWrong(w, requestIDParameter+" "+err.Error(), nil)
 		return nil
 	}
 	return &store.RequestKey{ID: "id/" + id, Digest: digest}
@@ -76,7 +76,7 @@
 func (r *Registry) answerEarlier(ctx context.Context, w http.ResponseWriter, key *store.RequestKey) bool {
 	got, known, err := r.earlierAnswer(ctx, key)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return true
 	}
 	if !known {
@@ -86,7 +86,7 @@
 	if got.Code == statemachine.OK && got.Number > 0 {
 		now, err := r.confirmed(ctx)
 		if err != nil {
-			r.failed(w, err)
+			r.answerFailure(w, err)
 			return true
 		}
 		paths = pathsOf(now.Trials, got.Number)
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -23,7 +23,7 @@
 // outerRoutes are the outside calls, for this program and for the store.
 func (r *Registry) outerRoutes() http.Handler {
 	m := chi.NewRouter()
-	m.Use(r.counted)
+	m.Use(r.countCalls)
 	m.Get("/puffin/ready", r.getReady)
 	m.Get("/puffin/status", r.getStatus)
 	m.Get("/puffin/services", r.getServices)
@@ -58,9 +58,9 @@
 	return m
 }
 
-// counted lets a stop wait for the calls under way, and sends new ones away
+// countCalls lets a stop wait for the calls under way, and sends new ones away
 // from a node that leaves.
-func (r *Registry) counted(next http.Handler) http.Handler {
+func (r *Registry) countCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.calls.Add(1)
 		defer r.calls.Add(-1)
@@ -72,20 +72,20 @@
 	})
 }
 
-// taken collects an answer that goes back over a link.
-type taken struct {
+// recordedAnswer collects an answer that goes back over a link.
+type recordedAnswer struct {
 	head http.Header
 	code int
 	buf  bytes.Buffer
 }
 
-func (t *taken) Header() http.Header { return t.head }
-func (t *taken) WriteHeader(c int) {
+func (t *recordedAnswer) Header() http.Header { return t.head }
+func (t *recordedAnswer) WriteHeader(c int) {
 	if t.code == 0 {
 		t.code = c
 	}
 }
-func (t *taken) Write(b []byte) (int, error) {
+func (t *recordedAnswer) Write(b []byte) (int, error) {
 	t.WriteHeader(http.StatusOK)
 	return t.buf.Write(b)
 }
@@ -102,13 +102,13 @@
 	if err != nil {
 		return session.OuterBack{}, fault.Wrap(fault.Refused, err, "outside call")
 	}
-	t := &taken{head: http.Header{}}
+	t := &recordedAnswer{head: http.Header{}}
 	r.routes.ServeHTTP(t, req)
 	return session.OuterBack{Status: t.code, Body: t.buf.Bytes(), Come: t.head.Get("Retry-After")}, nil
 }
 
-// timed bounds an outside call.
-func (r *Registry) timed(req *http.Request) (context.Context, context.CancelFunc) {
+// withDeadline bounds an outside call.
+func (r *Registry) withDeadline(req *http.Request) (context.Context, context.CancelFunc) {
 	wait := 2 * r.P.Change
 	if ms, err := strconv.ParseInt(req.URL.Query().Get("left_ms"), 10, 64); err == nil && ms > 0 {
 		wait = min(time.Duration(ms)*time.Millisecond, r.P.Grace)
@@ -116,11 +116,11 @@
 	return context.WithTimeout(req.Context(), wait)
 }
 
-// failed answers for an error of the stores: 503 when nothing was proposed,
+// answerFailure answers for an error of the stores: 503 when nothing was proposed,
 // 504 when the outcome is unknown.
-func (r *Registry) failed(w http.ResponseWriter, err error) {
+func (r *Registry) answerFailure(w http.ResponseWriter, err error) {
 	if fault.Is(err, fault.Refused) && !fault.Is(err, fault.Unknown) {
-		// A vacant duty is won again after a lease and up to half of one.
+		// A vacant role is won again after a lease and up to half of one.
 		outer.Busy(w, "no majority of the stores: nothing was done", r.P.Lease()*3/2)
 		return
 	}
@@ -141,11 +141,11 @@
 		r.sentConfig(w, req)
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "config"})
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	out := map[string]any{"version": got.Version}
--- a/internal/registry/kept.go
+++ b/internal/registry/savedworkers.go
@@ -10,20 +10,20 @@
 	"puffincrank/internal/wire"
 )
 
-// keptFile holds the registrations on this machine's disk. Nodes have none: when
+// workersFile holds the registrations on this machine's disk. Nodes have none: when
 // all processes are lost at once, nobody else remembers which worker stands
 // beside which node, though the workers run on and beat only after a while.
-const keptFile = "workers"
+const workersFile = "workers"
 
-// kept is the file's content.
-type kept struct {
+// savedWorkers is the file's content.
+type savedWorkers struct {
 	Mesh string      `msgpack:"m"`
 	All  ormap.Delta `msgpack:"a"`
 }
 
-// keep writes the live entries where they have changed. It is best effort: a
+// saveWorkers writes the live entries where they have changed. It is best effort: a
 // disk in trouble costs no more than what this file would have saved.
-func (r *Registry) keep(context.Context) {
+func (r *Registry) saveWorkers(context.Context) {
 	now := ormap.Total(r.rep.Map().Digests())
 	if r.e.FS == nil || !r.life.Is("ready") || now == r.keptAs {
 		return
@@ -32,23 +32,23 @@
 	if len(live) == 0 {
 		return
 	}
-	raw, err := msgpack.Marshal(kept{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live}.Pack()})
-	if err == nil && disk.Save(r.e.FS, keptFile, raw) == nil {
+	raw, err := msgpack.Marshal(savedWorkers{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live}.Pack()})
+	if err == nil && disk.Save(r.e.FS, workersFile, raw) == nil {
 		r.keptAs = now
 	}
 }
 
-// recall adds what the file holds to a replica that has nothing of it. Where a
-// fellow remembers any of it, it knows what was removed since, which the file
-// does not. Where fellows know about as many others, the file is of long ago, and
-// the graves of what it holds are forgotten; the few workers that beat before a
+// loadWorkers adds what the file holds to a replica that has nothing of it. Where a
+// peer remembers any of it, it knows what was removed since, which the file
+// does not. Where peers know about as many others, the file is of long ago, and
+// the tombstones of what it holds are forgotten; the few workers that beat before a
 // start was through say nothing of that.
-func (r *Registry) recall() {
+func (r *Registry) loadWorkers() {
 	if r.e.FS == nil {
 		return
 	}
-	raw, err := disk.Load(r.e.FS, keptFile)
-	var was kept
+	raw, err := disk.Load(r.e.FS, workersFile)
+	var was savedWorkers
 	if err != nil || wire.Unpack(raw, &was) != nil || was.Mesh != r.P.Mesh {
 		return
 	}
--- a/internal/registry/sessions.go
+++ b/internal/registry/sessions.go
@@ -13,18 +13,19 @@
 	"puffincrank/internal/wire"
 )
 
-// changes is how many changes of the list of members are kept, for those who
+// memberChangesKept is how many changes of the list of members are kept, for those who
 // hold an older one.
-const changes = 4096
+const memberChangesKept = 4096
 
-// page is how many members one message brings at the most.
-const page = 512
+// membersPerPage is how many members one message brings at the most.
+const membersPerPage = 512
 
-// few members are not worth the short form's own frame.
-const few = 2
+// plainDiff is how many members are sent one by one: so few are not worth the short
+// form's own frame.
+const plainDiff = 2
 
-// seat is one proxy's session here.
-type seat struct {
+// nodeSession is one proxy's session here.
+type nodeSession struct {
 	f       member.Fellow
 	heard   time.Time
 	version uint64
@@ -39,14 +40,14 @@
 	defer r.mu.Unlock()
 	defer r.relink()
 	if in.Bye {
-		r.unseat(in.Fellow.Node)
+		r.endSession(in.Fellow.Node)
 		return session.Receipt{}, nil
 	}
 	if r.rules == nil && r.sure.IsZero() || time.Since(r.sure) > r.P.Fresh() || r.life.Is("starting", "leaving", "shut", "lost") {
 		return session.Receipt{}, nil
 	}
 	out := session.Receipt{In: true, Age: time.Since(r.sure).Milliseconds() + 1}
-	// Who only looks for a control node in touch takes no seat.
+	// Who only looks for a control node in touch takes no session.
 	if in.Look {
 		if r.rules != nil {
 			out.Version = r.rules.Version
@@ -59,7 +60,7 @@
 			r.e.Log.Emit(event.SessionUp, "node", in.Fellow.Node)
 			r.buryOld(in.Fellow)
 		}
-		s = &seat{f: in.Fellow}
+		s = &nodeSession{f: in.Fellow}
 		r.own[in.Fellow.Node] = s
 		r.mine.Set(r.P.Node, s.f)
 		r.roll.Set(r.P.Node, s.f)
@@ -72,18 +73,18 @@
 	if r.rules != nil {
 		out.Version = r.rules.Version
 		if in.Version < out.Version {
-			r.lack(&out, in)
+			r.addMissing(&out, in)
 		}
 	}
 	if in.Hash != out.Hash {
-		r.differ(&out, in)
+		r.addMembersDiff(&out, in)
 	}
 	return out, nil
 }
 
-// lack gives a beat the steps to the newest configuration from the one that its
+// addMissing gives a beat the steps to the newest configuration from the one that its
 // node holds, or else the whole.
-func (r *Registry) lack(out *session.Receipt, in session.Beat) {
+func (r *Registry) addMissing(out *session.Receipt, in session.Beat) {
 	version, doc := r.held.Now()
 	out.Version = version
 	if steps, ok := r.held.Since(in.Version); ok && in.Patch {
@@ -99,16 +100,16 @@
 	}
 }
 
-// differ tells a beat what differs from the list that its node holds. Nothing
+// addMembersDiff tells a beat what differs from the list that its node holds. Nothing
 // at all means that this hash isn't known here: the node then asks by parts.
-func (r *Registry) differ(out *session.Receipt, in session.Beat) {
+func (r *Registry) addMembersDiff(out *session.Receipt, in session.Beat) {
 	if !in.Diff {
 		out.Members = r.roll.Book().List()
 		return
 	}
-	if d, ok := r.roll.Since(in.Hash); ok && len(d.Come)+len(d.Gone) <= page {
+	if d, ok := r.roll.Since(in.Hash); ok && len(d.Come)+len(d.Gone) <= membersPerPage {
 		out.Diff = true
-		if in.Short && len(d.Come)+len(d.Gone) > few {
+		if in.Short && len(d.Come)+len(d.Gone) > plainDiff {
 			// With nothing said it asks by parts, and is told whom to ask.
 			if out.Diff = r.rep.Room(); out.Diff {
 				out.Short = r.packed(in.Hash, d)
@@ -152,8 +153,8 @@
 	return out, err
 }
 
-// unseat ends a session; mu is held.
-func (r *Registry) unseat(node string) {
+// endSession ends a session; mu is held.
+func (r *Registry) endSession(node string) {
 	delete(r.own, node)
 	r.mine.Drop(r.P.Node, node)
 	r.roll.Drop(r.P.Node, node)
@@ -170,7 +171,7 @@
 	}
 	for n, s := range r.own {
 		if time.Since(s.heard) > r.P.Session() {
-			r.unseat(n)
+			r.endSession(n)
 			r.e.Log.Emit(event.SessionDown, "node", n)
 		}
 	}
@@ -214,7 +215,7 @@
 // hold an earlier one the steps from there.
 func (r *Registry) push() {
 	type one struct {
-		s    *seat
+		s    *nodeSession
 		at   string
 		have uint64
 	}
--- a/internal/registry/shares.go
+++ b/internal/registry/shares.go
@@ -32,7 +32,7 @@
 	r.e.Looks()
 	r.mu.Lock()
 	r.expire()
-	r.leaveOut()
+	r.dropUnreachable()
 	if !r.sure.IsZero() && time.Since(r.sure) <= r.P.Fresh() {
 		r.rep.Sound(time.Now().Add(r.P.Session()))
 	}
@@ -48,20 +48,20 @@
 	rest := calm && r.rounds%seldom != 0
 	var to []string
 	if rest {
-		if to = r.doubted(); len(to) == 0 {
+		if to = r.unreachablePeers(); len(to) == 0 {
 			r.mu.Unlock()
 			return
 		}
 	}
 	r.owe = false
 	in := session.Share{From: r.self, Hash: r.mine.Hash()}
-	if d, ok := r.mine.Since(r.told); ok && r.told != in.Hash && len(d.Come)+len(d.Gone) <= page {
+	if d, ok := r.mine.Since(r.told); ok && r.told != in.Hash && len(d.Come)+len(d.Gone) <= membersPerPage {
 		in.Diff, in.Base, in.Come, in.Gone = true, r.told, d.Come, d.Gone
 	}
 	r.told = in.Hash
 	in.Met = met
 	if !rest {
-		to = r.fellows()
+		to = r.peers()
 	}
 	r.mu.Unlock()
 	for _, a := range to {
@@ -73,7 +73,7 @@
 			defer end()
 			began := time.Now()
 			got, err := wire.Ask[session.ShareBack](ctx, r.n, a, "session.share", in)
-			r.answered(a, began, err == nil)
+			r.recordAnswer(a, began, err == nil)
 			if err == nil {
 				r.meet(got.Near)
 			}
@@ -95,7 +95,7 @@
 	} else {
 		out.Full, out.List = true, r.mine.Book().List()
 	}
-	if got.Pack && len(out.List)+len(out.Come)+len(out.Gone) > few {
+	if got.Pack && len(out.List)+len(out.Come)+len(out.Gone) > plainDiff {
 		out.Pack = member.Diff{Come: append(out.Come, out.List...), Gone: out.Gone}.Pack()
 		out.List, out.Come, out.Gone = nil, nil, nil
 	}
--- a/internal/registry/status.go
+++ b/internal/registry/status.go
@@ -54,7 +54,7 @@
 func (r *Registry) status() Status {
 	s := Status{Node: r.P.Node, Area: r.P.Area, State: r.life.Now(), Ready: r.Ready(), Duties: map[string]string{}}
 	for _, d := range r.duties {
-		if num, ok := d.holds(); ok {
+		if num, ok := d.leads(); ok {
 			s.Duties[d.name] = num.String()
 		}
 	}
@@ -86,7 +86,7 @@
 	out := Fleet{Members: r.roll.Book().List(), Duties: map[string]string{}, Mute: []string{}}
 	r.mu.Unlock()
 	r.stores.mu.Lock()
-	stores := append([]string(nil), r.stores.all...)
+	stores := append([]string(nil), r.stores.members...)
 	r.stores.mu.Unlock()
 	ctx, end := context.WithTimeout(ctx, r.P.Patience())
 	defer end()
@@ -156,7 +156,7 @@
 }
 
 func (r *Registry) getStatus(w http.ResponseWriter, req *http.Request) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	got, err := r.stores.read(ctx, store.Query{What: "config", From: 1 << 62})
 	f := r.gather(ctx, false, 0)
@@ -173,7 +173,7 @@
 }
 
 func (r *Registry) getEvents(w http.ResponseWriter, req *http.Request) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	f := r.gather(ctx, true, 0)
 	all := []event.Entry{}
--- a/internal/registry/stores.go
+++ b/internal/registry/stores.go
@@ -14,37 +14,37 @@
 	"puffincrank/internal/wire"
 )
 
-// stores is how a registry talks to the stores: it finds the writer and says
+// stores is how a registry talks to the stores: it finds the leader and says
 // what is known of each change.
 type stores struct {
-	n    *wire.Node
-	seed []string
-	wait time.Duration // how long one store may take
-	rest time.Duration // pause when no store writes
-	mu   sync.Mutex
-	head string
-	all  []string
-	mute map[string]time.Time // store to when it last did not answer
+	n            *wire.Node
+	seeds        []string
+	storeTimeout time.Duration // how long one store may take
+	retryPause   time.Duration // pause when no store writes
+	mu           sync.Mutex
+	leader       string
+	members      []string
+	unreachable  map[string]time.Time // store to when it last did not answer
 }
 
 func newStores(n *wire.Node, seed []string, wait, rest time.Duration) *stores {
-	return &stores{n: n, seed: seed, wait: wait, rest: rest, mute: map[string]time.Time{}}
+	return &stores{n: n, seeds: seed, storeTimeout: wait, retryPause: rest, unreachable: map[string]time.Time{}}
 }
 
-// list gives the addresses to try, the last known writer first, and last those
-// that were mute just now: a dead writer is named by others until they miss it.
-func (c *stores) list() []string {
+// candidates gives the addresses to try, the last known leader first, and last those
+// that were unreachable just now: a dead leader is named by others until they miss it.
+func (c *stores) candidates() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	seen := map[string]bool{"": true}
 	var out, late []string
-	for _, l := range [][]string{{c.head}, c.all, c.seed} {
+	for _, l := range [][]string{{c.leader}, c.members, c.seeds} {
 		for _, a := range l {
 			if seen[a] {
 				continue
 			}
 			seen[a] = true
-			if c.silent(a) {
+			if c.isUnreachable(a) {
 				late = append(late, a)
 			} else {
 				out = append(out, a)
@@ -54,51 +54,51 @@
 	return append(out, late...)
 }
 
-// silent tells that a store did not answer lately; mu is held.
-func (c *stores) silent(a string) bool { return time.Since(c.mute[a]) < 2*c.wait }
+// isUnreachable tells that a store did not answer lately; mu is held.
+func (c *stores) isUnreachable(a string) bool { return time.Since(c.unreachable[a]) < 2*c.storeTimeout }
 
-// heed takes in what a store says of the writer and the members.
-func (c *stores) heed(from string, g store.Given) {
+// observe takes in what a store says of the leader and the members.
+func (c *stores) observe(from string, g store.Given) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.mute, from)
+	delete(c.unreachable, from)
 	if g.Done {
-		c.head = from
-	} else if g.Head != "" && g.Head != from && !c.silent(g.Head) {
-		c.head = g.Head
-	} else if c.head == from {
-		c.head = ""
+		c.leader = from
+	} else if g.Head != "" && g.Head != from && !c.isUnreachable(g.Head) {
+		c.leader = g.Head
+	} else if c.leader == from {
+		c.leader = ""
 	}
 	if len(g.Members) > 0 {
-		c.all = nil
+		c.members = nil
 		for _, m := range g.Members {
-			c.all = append(c.all, m.Addr)
+			c.members = append(c.members, m.Addr)
 		}
 	}
 }
 
-// lose notes a store that did not answer. One that had too little time to is
-// not mute for that.
-func (c *stores) lose(ctx context.Context, addr string) {
+// markUnreachable notes a store that did not answer. One that had too little time to is
+// not unreachable for that.
+func (c *stores) markUnreachable(ctx context.Context, addr string) {
 	c.mu.Lock()
 	if ctx.Err() == nil {
-		c.mute[addr] = time.Now()
+		c.unreachable[addr] = time.Now()
 	}
-	if c.head == addr {
-		c.head = ""
+	if c.leader == addr {
+		c.leader = ""
 	}
 	c.mu.Unlock()
 }
 
-// ask goes round the stores until the writer answers. Once a store may have
+// request goes round the stores until the leader answers. Once a store may have
 // acted on a change, no other is asked: the outcome is unknown.
-func (c *stores) ask(ctx context.Context, kind string, in any, again bool) (statemachine.Result, error) {
-	return c.askFor(ctx, kind, in, again, c.wait, time.Time{})
+func (c *stores) request(ctx context.Context, kind string, in any, again bool) (statemachine.Result, error) {
+	return c.requestWithin(ctx, kind, in, again, c.storeTimeout, time.Time{})
 }
 
-// askFor is ask with the time that one store may take to answer a read, and
+// requestWithin is ask with the time that one store may take to answer a read, and
 // the moment after which a change is no longer sent anywhere.
-func (c *stores) askFor(ctx context.Context, kind string, in any, again bool, long time.Duration, by time.Time) (statemachine.Result, error) {
+func (c *stores) requestWithin(ctx context.Context, kind string, in any, again bool, long time.Duration, by time.Time) (statemachine.Result, error) {
 	var last error = fault.New(fault.Refused, "no store writes")
 	for {
 		tried := map[string]bool{}
@@ -116,19 +116,19 @@
 			g, err := wire.Ask[store.Given](one, c.n, at, kind, in)
 			end()
 			if err == nil {
-				c.heed(at, g)
+				c.observe(at, g)
 				if g.Done {
 					return g.Receipt, nil
 				}
 				continue
 			}
-			c.lose(ctx, at)
+			c.markUnreachable(ctx, at)
 			last = err
 			if !again && !fault.Is(err, fault.Unsent) && !fault.Is(err, fault.Refused) {
 				return statemachine.Result{}, fault.Wrap(fault.Unknown, err, "change handed to the store")
 			}
 		}
-		t := time.NewTimer(c.rest)
+		t := time.NewTimer(c.retryPause)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -138,10 +138,10 @@
 	}
 }
 
-// next gives the address to try now: the writer as last heard of, then all
+// next gives the address to try now: the leader as last heard of, then all
 // others, each once in a round; "" at its end.
 func (c *stores) next(tried map[string]bool) string {
-	for _, a := range c.list() {
+	for _, a := range c.candidates() {
 		if !tried[a] {
 			return a
 		}
@@ -149,22 +149,22 @@
 	return ""
 }
 
-// offer proposes a command.
-func (c *stores) offer(ctx context.Context, kind string, cmd statemachine.Command) (statemachine.Result, error) {
-	return c.offerBy(ctx, kind, cmd, time.Time{})
+// propose proposes a command.
+func (c *stores) propose(ctx context.Context, kind string, cmd statemachine.Command) (statemachine.Result, error) {
+	return c.proposeBefore(ctx, kind, cmd, time.Time{})
 }
 
-// offerOnce proposes the command of a request that may be sent again.
-func (c *stores) offerOnce(ctx context.Context, kind string, cmd statemachine.Command, key *store.RequestKey) (statemachine.Result, error) {
+// proposeOnce proposes the command of a request that may be sent again.
+func (c *stores) proposeOnce(ctx context.Context, kind string, cmd statemachine.Command, key *store.RequestKey) (statemachine.Result, error) {
 	p, err := statemachine.Pack(kind, cmd)
 	if err != nil {
 		return statemachine.Result{}, err
 	}
-	return c.ask(ctx, "store.offer", store.Offer{Cmd: p, Once: key}, false)
+	return c.request(ctx, "store.offer", store.Offer{Cmd: p, Once: key}, false)
 }
 
-// offerBy proposes a command that must not be done when it comes later than by.
-func (c *stores) offerBy(ctx context.Context, kind string, cmd statemachine.Command, by time.Time) (statemachine.Result, error) {
+// proposeBefore proposes a command that must not be done when it comes later than by.
+func (c *stores) proposeBefore(ctx context.Context, kind string, cmd statemachine.Command, by time.Time) (statemachine.Result, error) {
 	p, err := statemachine.Pack(kind, cmd)
 	if err != nil {
 		return statemachine.Result{}, err
@@ -173,18 +173,18 @@
 	if end, ok := ctx.Deadline(); ok && by.Before(end) && !by.IsZero() {
 		in.Rest = (end.Sub(by) + time.Millisecond - 1).Milliseconds()
 	}
-	return c.askFor(ctx, "store.offer", in, false, c.wait, by)
+	return c.requestWithin(ctx, "store.offer", in, false, c.storeTimeout, by)
 }
 
 // read asks for a confirmed read.
 func (c *stores) read(ctx context.Context, q store.Query) (statemachine.Result, error) {
-	return c.ask(ctx, "store.read", q, true)
+	return c.request(ctx, "store.read", q, true)
 }
 
 // watch asks any store for changes; the own machine's is the first seed.
 func (c *stores) watch(ctx context.Context, q store.Query) (statemachine.Result, error) {
 	var last error
-	for _, at := range c.list() {
+	for _, at := range c.candidates() {
 		g, err := wire.Ask[store.Given](ctx, c.n, at, "store.watch", q)
 		if err == nil && g.Done {
 			return g.Receipt, nil
@@ -197,14 +197,14 @@
 	return statemachine.Result{}, fault.Wrap(fault.Refused, last, "watch")
 }
 
-// puts asks the writer for the puts of a group. A long wait is made of parts,
+// groupPuts asks the leader for the puts of a group. A long wait is made of parts,
 // so that a store that went dark in the middle of it is left soon.
-func (c *stores) puts(ctx context.Context, q store.Query, wait, part time.Duration) (statemachine.Result, error) {
+func (c *stores) groupPuts(ctx context.Context, q store.Query, wait, part time.Duration) (statemachine.Result, error) {
 	end := time.Now().Add(wait)
 	for {
 		one := max(min(time.Until(end), part), 0)
 		q.Wait = one.Milliseconds()
-		got, err := c.askFor(ctx, "store.puts", q, true, one+c.wait, time.Time{})
+		got, err := c.requestWithin(ctx, "store.puts", q, true, one+c.storeTimeout, time.Time{})
 		if err != nil || got.Code != statemachine.OK || len(got.Changes) > 0 || q.From == 0 || time.Until(end) < time.Millisecond {
 			return got, err
 		}
@@ -213,7 +213,7 @@
 
 // removeStore takes a store out of the core, if those who stay can decide.
 func (r *Registry) removeStore(w http.ResponseWriter, req *http.Request) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	id := chi.URLParam(req, "id")
 	// A replica has its id for itself and for ever, so the id names the request.
@@ -223,10 +223,10 @@
 	}
 	got, known, err := r.earlierAnswer(ctx, key)
 	if err == nil && !known {
-		got, err = r.stores.ask(ctx, "store.remove", store.RemoveAsk{ID: id, Once: key}, false)
+		got, err = r.stores.request(ctx, "store.remove", store.RemoveAsk{ID: id, Once: key}, false)
 	}
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	answer(w, got, map[string]any{"store": id})
--- a/internal/registry/trials.go
+++ b/internal/registry/trials.go
@@ -39,7 +39,7 @@
 	return r.stores.read(ctx, store.Query{What: "config"})
 }
 
-func refuse(w http.ResponseWriter, why string, bad []settings.Fault) {
+func answerWrong(w http.ResponseWriter, why string, bad []settings.Fault) {
 	outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: why, Faults: bad})
 }
 
@@ -47,30 +47,30 @@
 func (r *Registry) propose(w http.ResponseWriter, req *http.Request) {
 	base, err := strconv.ParseUint(req.URL.Query().Get("based_on"), 10, 64)
 	if err != nil {
-		refuse(w, "based_on must name the version that the proposal is based on", nil)
+		answerWrong(w, "based_on must name the version that the proposal is based on", nil)
 		return
 	}
-	v, ok := fields(w, req, TabPropose)
+	v, ok := readFields(w, req, TabPropose)
 	if !ok {
 		return
 	}
 	content, err := json.Marshal(v)
 	if err != nil {
-		refuse(w, err.Error(), nil)
+		answerWrong(w, err.Error(), nil)
 		return
 	}
-	key := requestKey(w, req, "propose", []byte(who(req)), []byte(req.URL.Query().Get("based_on")), content)
+	key := requestKey(w, req, "propose", []byte(operatorOf(req)), []byte(req.URL.Query().Get("based_on")), content)
 	if key == nil {
 		return
 	}
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	if r.answerEarlier(ctx, w, key) {
 		return
 	}
 	now, err := r.confirmed(ctx)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if now.Version != base {
@@ -86,11 +86,11 @@
 	}
 	standing, _, _ := rules.Compile(base, now.Doc)
 	if standing == nil || standing.Named(path) == nil {
-		refuse(w, "there is no such path", []settings.Fault{{Place: "path", Wrong: fmt.Sprintf("no path %q", path)}})
+		answerWrong(w, "there is no such path", []settings.Fault{{Place: "path", Wrong: fmt.Sprintf("no path %q", path)}})
 		return
 	}
 	if rules.Alike(now.Doc, path, change) {
-		refuse(w, "the proposal is what stands already", nil)
+		answerWrong(w, "the proposal is what stands already", nil)
 		return
 	}
 	for _, t := range now.Trials {
@@ -108,25 +108,25 @@
 	id := now.Number + 1
 	doc, err := rules.Try(now.Doc, id, path, change, slice)
 	if err != nil {
-		refuse(w, err.Error(), nil)
+		answerWrong(w, err.Error(), nil)
 		return
 	}
 	if _, bad, err := rules.Compile(base+1, doc); err != nil || len(bad) > 0 {
-		refuse(w, "the proposal can't stand", bad)
+		answerWrong(w, "the proposal can't stand", bad)
 		return
 	}
-	r.begin(ctx, w, req, key, &statemachine.Propose{ID: id, Base: base, Doc: doc, Paths: []string{path}, Slice: slice, Who: who(req)})
+	r.begin(ctx, w, req, key, &statemachine.Propose{ID: id, Base: base, Doc: doc, Paths: []string{path}, Slice: slice, Who: operatorOf(req)})
 }
 
 // begin offers a trial and answers.
 func (r *Registry) begin(ctx context.Context, w http.ResponseWriter, req *http.Request, key *store.RequestKey, c *statemachine.Propose) {
-	got, err := r.stores.offerOnce(ctx, "trial.propose", c, key)
+	got, err := r.stores.proposeOnce(ctx, "trial.propose", c, key)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	if got.Code == statemachine.OK {
-		r.e.Log.Emit(event.Proposed, "trial", got.Number, "version", got.Version, "who", who(req), "paths", fmt.Sprint(c.Paths))
+		r.e.Log.Emit(event.Proposed, "trial", got.Number, "version", got.Version, "who", operatorOf(req), "paths", fmt.Sprint(c.Paths))
 	}
 	answerOrder(w, got, c.Paths)
 }
@@ -142,17 +142,17 @@
 		return out
 	}
 	if rl, _, _ := rules.Compile(version, doc); rl != nil {
-		out["figures"] = r.weigh(t, r.reports(ctx), bounds(rl.Judge))
+		out["figures"] = r.weigh(t, r.reports(ctx), judgeBounds(rl.Judge))
 	}
 	return out
 }
 
 func (r *Registry) getTrials(w http.ResponseWriter, req *http.Request) {
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	now, err := r.confirmed(ctx)
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	raw := chi.URLParam(req, "id")
@@ -177,7 +177,7 @@
 // drain tells a node to drain its workers, or to take jobs again.
 func (r *Registry) drain(w http.ResponseWriter, req *http.Request) {
 	node := chi.URLParam(req, "node")
-	ctx, end := r.timed(req)
+	ctx, end := r.withDeadline(req)
 	defer end()
 	r.mu.Lock()
 	at := ""
@@ -191,14 +191,14 @@
 	}
 	got, err := wire.Ask[proxy.Status](ctx, r.n, at, "node.drain", proxy.DrainAsk{On: req.URL.Query().Get("undo") != "true"})
 	if err != nil {
-		r.failed(w, err)
+		r.answerFailure(w, err)
 		return
 	}
 	outer.JSON(w, http.StatusOK, map[string]any{"node": node, "workers": got.Workers})
 }
 
-// live tells which paths had jobs lately, by all fronts.
-func live(all []session.Report) func(string) bool {
+// liveReports tells which paths had jobs lately, by all fronts.
+func liveReports(all []session.Report) func(string) bool {
 	set := map[string]bool{}
 	for _, rep := range all {
 		for _, p := range rep.Live {
--- a/internal/registry/mute.go
+++ b/internal/registry/unreachable.go
@@ -6,9 +6,9 @@
 	"puffincrank/internal/member"
 )
 
-// answered notes whether a control node answered a word that began at a time,
+// recordAnswer notes whether a control node answered a word that began at a time,
 // so that one that ended is out of the list before its sessions' time is over.
-func (r *Registry) answered(at string, began time.Time, ok bool) {
+func (r *Registry) recordAnswer(at string, began time.Time, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, o := range r.others {
@@ -26,10 +26,10 @@
 	}
 }
 
-// doubted gives the control nodes whose end is not certain yet: a word goes to
+// unreachablePeers gives the control nodes whose end is not certain yet: a word goes to
 // them at each beat, as a word now and then would find it out too late. mu is
 // held.
-func (r *Registry) doubted() []string {
+func (r *Registry) unreachablePeers() []string {
 	var out []string
 	for _, o := range r.others {
 		if o.stands && !o.mute.IsZero() && !o.out {
@@ -39,11 +39,11 @@
 	return out
 }
 
-// leaveOut takes a control node off the list that answered nothing for as long as
-// a duty stands without its holder, and said nothing itself meanwhile. What it
+// dropUnreachable takes a control node off the list that answered nothing for as long as
+// a role stands without its holder, and said nothing itself meanwhile. What it
 // said of its sessions goes on counting: who is cut off from it is not from them.
 // mu is held.
-func (r *Registry) leaveOut() {
+func (r *Registry) dropUnreachable() {
 	for who, o := range r.others {
 		if o.stands && !o.mute.IsZero() && !o.out && o.heard.Before(o.mute) && time.Since(o.mute) >= r.P.Vacant() {
 			o.out = true
--- a/internal/registry/mute_test.go
+++ b/internal/registry/unreachable_test.go
@@ -27,8 +27,8 @@
 			return r, o
 		}
 		step := func(r *Registry, began time.Time, ok bool) bool {
-			r.answered("hx:1", began, ok)
-			r.leaveOut()
+			r.recordAnswer("hx:1", began, ok)
+			r.dropUnreachable()
 			return r.roll.Book().Has("x")
 		}
 		// pass lets a time go by before a word begins.
@@ -41,7 +41,7 @@
 			if on := step(r, pass(beat), false); on != (i < 3) {
 				t.Errorf("on the list %v, %d beats after the first word without an answer", on, i)
 			}
-			if n := len(r.doubted()); n != 1 && i < 3 || n != 0 && i >= 3 {
+			if n := len(r.unreachablePeers()); n != 1 && i < 3 || n != 0 && i >= 3 {
 				t.Errorf("%d asked at each beat after %d beats", n, i)
 			}
 		}
@@ -75,7 +75,7 @@
 		early := pass(beat)
 		step(r, pass(beat), true)
 		pass(4 * beat)
-		if !step(r, early, false) || len(r.doubted()) != 0 {
+		if !step(r, early, false) || len(r.unreachablePeers()) != 0 {
 			t.Error("an old word counts against a newer answer")
 		}
 	})
