--- a/internal/model/explore_test.go
+++ b/internal/model/explore_test.go
@@ -28,7 +28,9 @@
 func TestExplore(t *testing.T) {
 	leaving := three
 	leaving.Wipes, leaving.Leaves = 0, 1
-	for name, c := range map[string]Config{"a wipe": three, "a leave": leaving} {
+	both := three
+	both.Leaves = 1
+	for name, c := range map[string]Config{"a wipe": three, "a leave": leaving, "a wipe and a leave": both} {
 		r := Explore(c, Sound, states(t, 400_000))
 		t.Logf("%s: %d states, to a depth of %d, all of them: %v", name, r.States, r.Depth, r.Complete)
 		if r.Fault != "" {
