What a test said before its process crashed is told

A run of the simulator with the race detector ended after 45 s with no test named and no word of why: what an unfinished test had said was left out.

--- a/internal/known/known.go
+++ b/internal/known/known.go
@@ -53,8 +53,13 @@
 	ended  string            // pass, skip or fail
 	broke  bool              // ended in the middle: what comes after did not run
 	said   []string          // not by a test
+	cut    []string          // by tests that had not ended when the package did
 }
 
+// cutLines is how much of what unfinished tests said is told: a crash of the
+// process names its cause there, and may go on for thousands of lines.
+const cutLines = 300
+
 // Run is a test run as it was heard.
 type Run struct {
 	packs map[string]*pack
@@ -102,6 +107,7 @@
 			p.failed[e.Test] = text(said[key])
 		case e.Test == "" && (e.Action == "pass" || e.Action == "skip" || e.Action == "fail"):
 			p.ended, p.said = e.Action, strings.Split(text(said[key]), "\n")
+			p.cut = unfinished(said, e.Package)
 		}
 		if e.Test != "" && (e.Action == "pass" || e.Action == "skip" || e.Action == "fail") {
 			delete(said, key)
@@ -110,6 +116,22 @@
 	return r, fault.Wrap(fault.Input, scan.Err(), "what the tests say")
 }
 
+// unfinished gives the first lines of what tests of a package said that have
+// not ended.
+func unfinished(said map[string]*strings.Builder, pack string) (out []string) {
+	var keys []string
+	for key := range said {
+		if strings.HasPrefix(key, pack+" Test") {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		out = append(out, strings.Split(text(said[key]), "\n")...)
+	}
+	return out[:min(len(out), cutLines)]
+}
+
 func text(b *strings.Builder) string {
 	if b == nil {
 		return ""
@@ -151,9 +173,9 @@
 		}
 		switch {
 		case p.broke || p.ended == "":
-			bad("%s\nNOT ENDED: %s", strings.Join(p.said, "\n"), name)
+			bad("%s\n%s\nNOT ENDED: %s", strings.Join(p.cut, "\n"), strings.Join(p.said, "\n"), name)
 		case p.ended == "fail" && len(tests) == 0:
-			bad("%s\n%s\nFAILED: %s", strings.Join(r.loose, "\n"), strings.Join(p.said, "\n"), name)
+			bad("%s\n%s\n%s\nFAILED: %s", strings.Join(r.loose, "\n"), strings.Join(p.cut, "\n"), strings.Join(p.said, "\n"), name)
 		}
 	}
 	for _, red := range list {
--- a/internal/known/known_test.go
+++ b/internal/known/known_test.go
@@ -46,6 +46,7 @@
 		{"another part fails too", line("fail", "TestA/two", "") + part + end + exit, []Red{one}, false, "TestA/two"},
 		{"a listed one passes", line("pass", "TestA", "") + line("pass", "", ""), []Red{a}, true, "did not fail"},
 		{"a listed one panics", line("output", "TestA", `panic: oh\n`) + failed + end + exit, []Red{a}, false, "NOT ENDED"},
+		{"the process crashes in a test", line("output", "TestA", `SIGSEGV: segmentation violation\n`) + end + exit, nil, false, "SIGSEGV"},
 		{"no end", failed, []Red{a}, false, "NOT ENDED"},
 		{"did not build", `{"ImportPath":"x","Action":"build-output","Output":"x.go:1: what\n"}` + "\n" + end + exit, []Red{a}, false, "x.go:1: what"},
 		{"nothing ran", "no go files\n" + exit, nil, false, "no go files"},
