--- a/internal/sim/cuttwenty_test.go
+++ b/internal/sim/cuttwenty_test.go
@@ -54,6 +54,10 @@
 func TestCutTwentySeconds(t *testing.T) {
 	t.Parallel()
 	for _, cores := range []int{3, 5} {
+		// The detector's own runtime crashed in runs of five.
+		if testing.Short() && cores == 5 {
+			continue
+		}
 		for i, cut := range cutsOfOne {
 			for _, leads := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%d, %s, leader %v", cores, cut.name, leads), func(t *testing.T) {
