--- a/test.sh
+++ b/test.sh
@@ -15,11 +15,11 @@
 # (tsan_rtl.cpp, code 66) where 16 processors ran their goroutines at once, and none
 # where 4 or 6 did; and by a crash in its table of stacks (StackDepotBase::Put), which
 # grows for as long as a process runs. So packages run side by side, but for the
-# simulator, which runs in two processes, four runs at once.
+# simulator, which runs in two processes.
 others=$(go list ./... | grep -v '/internal/sim$')
 GOMAXPROCS=6 run -race -short -p 8 -timeout 15m $others
-GOMAXPROCS=6 run -race -short -parallel 4 -timeout 15m -run '^Test[A-L]' ./internal/sim
-GOMAXPROCS=6 run -race -short -parallel 4 -timeout 15m -skip '^Test[A-L]' ./internal/sim
+GOMAXPROCS=6 run -race -short -timeout 15m -run '^Test[A-L]' ./internal/sim
+GOMAXPROCS=6 run -race -short -timeout 15m -skip '^Test[A-L]' ./internal/sim
 # The heaviest simulated runs go without the race detector, which would make
 # minutes of them.
 run -count=1 -timeout 10m ./internal/sim
