Sight: states of a worker by its calls, callers that left, a trail of decisions

Our logs could not tell which call of a worker brought it back, nor anything of a caller that leaves. TestSight asserts that they are there.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -45,12 +45,16 @@
 	Afresh        = Kind{505, "afresh", "own live entries were found removed and registered afresh", true}
 	Evicted       = Kind{506, "evicted", "an address passed to another worker; the old entry went first", false}
 	Draining      = Kind{507, "draining", "a worker is draining", false}
+	WorkerState   = Kind{508, "worker-state", "the owner's view of its worker changed: by which of the worker's calls, and why", false}
+	CallLate      = Kind{509, "call-late", "a worker's call came behind a newer one and changed nothing", false}
 	Garbled       = Kind{601, "garbled", "a worker's answer failed the seal and was not passed on", true}
 	Unfit         = Kind{602, "unfit", "a worker lost weight by its fitness", true}
 	Fit           = Kind{603, "fit", "a worker regained its weight", false}
 	BeatBad       = Kind{604, "beat-bad", "a worker's beat was refused", true}
 	Twice         = Kind{605, "twice", "a second arrival of one attempt was refused", true}
 	Stranger      = Kind{606, "stranger", "another than the worker stands at its address; no job was sent", true}
+	CallerLeft    = Kind{607, "caller-left", "callers left before their answers; the newest is named", false}
+	RunEnded      = Kind{608, "run-ended", "runs were ended at the worker since their callers had left; the newest is named", false}
 	ConfigTaken   = Kind{701, "config-taken", "a configuration version is in force here", false}
 	ConfigBad     = Kind{702, "config-bad", "a configuration was refused", true}
 	ConfigSet     = Kind{703, "config-set", "a configuration was acknowledged", false}
@@ -64,6 +68,6 @@
 var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, BadLink, Unspoken, Mute,
 	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall, StateLarge, SnapshotBad, Left,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch, Unsure,
-	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining,
-	Garbled, Unfit, Fit, BeatBad, Twice, Stranger,
+	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining, WorkerState, CallLate,
+	Garbled, Unfit, Fit, BeatBad, Twice, Stranger, CallerLeft, RunEnded,
 	ConfigTaken, ConfigBad, ConfigSet, Proposed, Promoted, HeldBack, Emergency}
--- a/internal/proxy/beat.go
+++ b/internal/proxy/beat.go
@@ -93,7 +93,7 @@
 	case "draining":
 		x.drain(g)
 	case "up":
-		if !sick && (g.state.Fire("up") || resized) {
+		if !sick && (x.moves(g, "up", "its word") || resized) {
 			x.shapeGate(g, x.rules.Load())
 			g.room.Open()
 			x.enter(g)
@@ -105,7 +105,7 @@
 // drop shuts a gate for good and removes its entry.
 func (x *Proxy) drop(g *gate, why string) {
 	g.room.Close()
-	g.state.Fire("gone")
+	x.moves(g, "gone", why)
 	x.remove(g, why)
 }
 
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -76,6 +76,7 @@
 		return v.later("no repeats are left for calls to "+lacks, x.again.When(lacks))
 	}
 	// From here on the worker may have had the job, whatever an error says.
+	x.step(v, stepSent, "")
 	v.back.Came = true
 	w, body, err := x.way.send(k, r, v.end, x.surplus(v))
 	if err != nil {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -31,6 +31,7 @@
 	takes   map[string]time.Duration // by path, how long a job runs here, smoothed
 	bytes   map[string]int           // by path, how long its answers are, smoothed
 	leaves  time.Time                // when it said that it is leaving
+	began   uint64                   // the step of the trail at which its state began
 	own     *nominate.Own
 	tell    sync.Mutex // one word to the registry at a time; taken before mu
 	told    int        // the doubts that the registry has
@@ -130,7 +131,7 @@
 		g.mu.Lock()
 		mute := time.Since(g.heard) > x.P.Missed()
 		g.mu.Unlock()
-		if mute && g.state.Fire("miss") {
+		if mute && x.moves(g, "miss", "no word in time") {
 			g.room.Close()
 			x.remove(g, "down")
 		}
@@ -153,6 +154,21 @@
 	}
 }
 
+// moves changes the state of a gate and tells by which of the worker's calls;
+// false means that nothing changed.
+func (x *Proxy) moves(g *gate, by, why string) bool {
+	was := g.state.Now()
+	if !g.state.Fire(by) {
+		return false
+	}
+	g.mu.Lock()
+	g.began = x.trail.next()
+	step, call := g.began, g.seq
+	g.mu.Unlock()
+	x.e.Log.Emit(event.WorkerState, "worker", g.worker, "from", was, "to", g.state.Now(), "call", call, "step", step, "why", why)
+	return true
+}
+
 func (x *Proxy) leaveGates() {
 	for _, g := range x.allGates() {
 		x.drain(g)
@@ -207,7 +223,7 @@
 		g.leaves = time.Now()
 	}
 	g.mu.Unlock()
-	if !first || !g.state.Fire("drain") {
+	if !first || !x.moves(g, "drain", "told to drain") {
 		return
 	}
 	x.e.Log.Emit(event.Draining, "worker", g.worker)
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -24,6 +24,7 @@
 	r.Put("/puffin/workers/{id}", x.onWorker)
 	r.Delete("/puffin/workers/{id}", x.onLeave)
 	r.Get("/puffin/own", func(w http.ResponseWriter, _ *http.Request) { outer.JSON(w, http.StatusOK, x.status()) })
+	r.Get("/puffin/own/trail", x.onTrail)
 	// All else is the core's to answer, so that every node gives the same.
 	r.NotFound(x.handOut)
 	r.MethodNotAllowed(x.handOut)
@@ -122,6 +123,7 @@
 	Peak     int64                           `msgpack:"peak,omitempty" json:"bytes_under_way_peak"`
 	Room     int64                           `msgpack:"room,omitempty" json:"bytes_under_way_bound"`
 	Slim     int64                           `msgpack:"slim,omitempty" json:"refused_for_thin_links"`
+	Quit     int64                           `msgpack:"quit,omitempty" json:"callers_left"`
 }
 
 // WorkerStatus is one worker as its owner sees it.
@@ -154,7 +156,7 @@
 	s.Count = x.count
 	x.mu.Unlock()
 	s.Repeats, s.Slim = x.again.Given(), x.slim.Load()
-	s.Callers = x.stay.Open()
+	s.Callers, s.Quit = x.stay.Open(), x.quit.Load()
 	s.Bytes, s.Peak, s.Room = x.load.at()
 	s.Classes, s.Fitness = x.uses(), x.pick.Fits()
 	s.Eager, s.Lazy = x.rep.Tree().Shape()
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -62,6 +62,9 @@
 			break
 		}
 	}
+	if v.back.Kind == session.Refused && !v.back.Came {
+		x.step(v, stepRefused, v.back.Why)
+	}
 	v.back.Used, v.back.Inner = -1, v.ask.Inner
 	if v.gate != nil {
 		x.ended(v)
--- /dev/null
+++ b/internal/proxy/trail.go
@@ -0,0 +1,101 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"puffincrank/internal/outer"
+)
+
+// What a step of the trail says of a request.
+const (
+	stepSent      = "sent"        // written to the worker
+	stepRefused   = "refused"     // turned away by the owner, unrun
+	stepLeft      = "caller-left" // the front saw that the caller had gone
+	stepCancelled = "cancelled"   // the owner heard that the caller had gone
+	stepEnded     = "run-ended"   // the owner closed the connection on which it ran
+	stepKept      = "run-kept"    // it runs on, since it may not be run again
+)
+
+// Step is one decision about a request, with what this node knew of the worker
+// when it was made.
+type Step struct {
+	Seq     uint64    `json:"seq"` // orders the steps and the worker's states of this process
+	At      time.Time `json:"at"`  // by the wall clock, to find it beside other logs; orders nothing
+	Request string    `json:"request"`
+	Attempt string    `json:"attempt,omitempty"`
+	Step    string    `json:"step"`
+	Worker  string    `json:"worker,omitempty"`
+	State   string    `json:"state,omitempty"`   // of the worker
+	Since   uint64    `json:"since,omitempty"`   // the step number at which that state began
+	Call    int64     `json:"call,omitempty"`    // the newest call of the worker that was taken
+	WordMS  int64     `json:"word_ms,omitempty"` // how old the worker's newest word was
+	Why     string    `json:"why,omitempty"`
+}
+
+// trailLength bounds the trail of one process; with some 200 bytes a step it
+// takes less than half a megabyte.
+const trailLength = 2048
+
+// trail keeps the newest steps of a process.
+type trail struct {
+	mu   sync.Mutex
+	seq  uint64
+	ring [trailLength]Step
+}
+
+// next counts a change of a worker's state in the order of the steps.
+func (t *trail) next() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	return t.seq
+}
+
+// add keeps a step, in the place of the oldest.
+func (t *trail) add(s Step) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	s.Seq, s.At = t.seq, time.Now()
+	t.ring[t.seq%trailLength] = s
+}
+
+// of gives the kept steps of a request or a worker, all for "", oldest first.
+func (t *trail) of(name string) []Step {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []Step{}
+	for i := range uint64(trailLength) {
+		s := t.ring[(t.seq+1+i)%trailLength]
+		if s.Seq > 0 && (name == "" || s.Request == name || s.Worker == name) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// step adds what is known of the worker and keeps it.
+func (x *Proxy) step(v *visit, what, why string) {
+	s := Step{Request: v.in.Said, Attempt: v.in.Attempt, Step: what, Worker: v.in.Worker, Why: why}
+	if s.Request == "" {
+		s.Request = v.in.Job
+	}
+	if g := v.gate; g != nil {
+		g.mu.Lock()
+		s.Since, s.Call = g.began, g.seq
+		if !g.word.IsZero() {
+			s.WordMS = time.Since(g.word).Milliseconds()
+		}
+		g.mu.Unlock()
+		s.State = g.state.Now()
+	}
+	x.trail.add(s)
+}
+
+// onTrail tells the newest decisions about requests, of one request or worker
+// where the query names it ("of").
+func (x *Proxy) onTrail(w http.ResponseWriter, r *http.Request) {
+	outer.JSON(w, http.StatusOK, map[string][]Step{"steps": x.trail.of(r.URL.Query().Get("of"))})
+}
--- a/internal/proxy/worker.go
+++ b/internal/proxy/worker.go
@@ -53,7 +53,9 @@
 		return
 	}
 	// A late one changes nothing, but it was heard.
-	if x.newer(id, v.Count("seq")) {
+	if !x.newer(id, v.Count("seq")) {
+		x.e.Log.Emit(event.CallLate, "worker", id, "call", v.Count("seq"), "says", v.Text("state"))
+	} else {
 		x.beat(id, v.Text("service"), v.Text("addr"), int(v.Count("slots")), v.Text("state"), time.Duration(v.Share("cold_ms"))*time.Millisecond)
 		// The first of a worker has a gate only now.
 		x.newer(id, v.Count("seq"))
--- /dev/null
+++ b/internal/sim/sight_test.go
@@ -0,0 +1,73 @@
+package sim
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/event"
+	"puffincrank/internal/stand/play"
+)
+
+// TestSight: the logs and the trail of the nodes alone tell what an owner knew of
+// its worker when it sent a request there, by which of the worker's calls and in
+// which order, and when a caller's leaving was seen.
+func TestSight(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, reader(1, 0.12), 1)
+		log := map[string][]string{}
+		s.Log = func(e event.Entry) {
+			s.smu.Lock()
+			log[e.Name] = append(log[e.Name], e.Node+" "+e.Say)
+			s.smu.Unlock()
+		}
+		var steps []any
+		quit := 0.0
+		s.day(9*time.Second, func() {
+			for _, m := range s.machines {
+				m.c.Quit = 0.5
+			}
+			Wait(2 * time.Second)
+			m := s.machines[0]
+			m.w.LeaveBy(context.Background(), play.Manner{SignsOff: true, Late: time.Second})
+			_, got := s.Get(m.Host+":7003", "/puffin/own/trail?of="+m.w.Name)
+			steps, _ = got["steps"].([]any)
+			for _, m := range s.machines {
+				_, own := s.Get(m.Host+":7003", "/puffin/own")
+				n, _ := own["callers_left"].(float64)
+				quit += n
+			}
+		})
+		gone := "to=gone call="
+		if l := strings.Join(log["worker-state"], "\n"); !strings.Contains(l, gone) || !strings.Contains(l, "step=") {
+			t.Errorf("no event tells by which call the worker went: %s", l)
+		}
+		if len(log["caller-left"]) == 0 || quit == 0 {
+			t.Errorf("%d events and a count of %v of callers that left", len(log["caller-left"]), quit)
+		}
+		sent := 0
+		last := 0.0
+		for _, raw := range steps {
+			step := raw.(map[string]any)
+			seq := step["seq"].(float64)
+			if seq <= last {
+				t.Errorf("step %v after %v", seq, last)
+			}
+			last = seq
+			if step["step"] != "sent" {
+				continue
+			}
+			sent++
+			since, known := step["since"].(float64)
+			if !known || since >= seq || step["state"] == "" || step["call"].(float64) <= 0 || step["request"] == "" {
+				t.Errorf("a send says only %v", step)
+			}
+		}
+		if sent == 0 {
+			t.Errorf("no send to the worker in %d steps", len(steps))
+		}
+	})
+}
--- a/internal/stand/play/worker.go
+++ b/internal/stand/play/worker.go
@@ -64,7 +64,7 @@
 	born  time.Time
 	mu    sync.Mutex
 	ills  Ills
-	state string // up, draining or over
+	state string // up, draining, leaving (it signed off first) or over
 	seq   int64
 	conns map[net.Conn]bool
 	beat  int // which of Beats it goes to
@@ -125,6 +125,9 @@
 	return k.state == state
 }
 
+// leaving tells that it has said that it goes, in either manner.
+func (k *Worker) leaving() bool { return k.is("draining") || k.is("leaving") }
+
 // ill is what is wrong with it for whoever is at the far end.
 func (k *Worker) ill(c net.Conn) Ills {
 	k.mu.Lock()
