--- a/internal/stand/witness/docs_test.go
+++ b/internal/stand/witness/docs_test.go
@@ -150,6 +150,7 @@
 	return []breach{
 		{"sent after the bound", Drain, func(d *day) { late(d, "m1") }},
 		{"sent after the bound, unsettled", "", func(d *day) { d.Touch.Core("kill"); late(d, "m1") }},
+		{"sent after the bound, acknowledged by one out of touch", Drain, func(d *day) { d.Touch.Begin("m2", "killed")(); late(d, "m2") }},
 		{"sent within the bound", "", func(d *day) { d.Leaves(d.k); d.LeaveTaken(d.k, "m1"); pass(time.Second); d.whole() }},
 		{"cut off at work", Lost, cutAt(10*time.Millisecond, work)},
 		{"cut off unsent, late", Lost, cutAt(300*time.Millisecond, func(*day, *Try) {})},
--- a/internal/stand/witness/leaving.go
+++ b/internal/stand/witness/leaving.go
@@ -41,15 +41,15 @@
 	w.mu.Unlock()
 }
 
-// drains: later than the bound after a machine in touch acknowledged that a
-// worker leaves, nothing is sent to it by machines in touch.
+// drains: later than the bound after a machine acknowledged that a worker
+// leaves, whether it was in touch or not, nothing is sent to it by machines in touch.
 func (w *Witness) drains() {
 	for _, v := range w.visits {
 		k := v.Worker
 		if k.Acked.IsZero() || v.Try == nil || v.Declined == 421 || !v.At.After(k.Acked.Add(w.B.Leave)) {
 			continue
 		}
-		if w.Touch.At(k.By, k.Acked) && w.Touch.through(v.Try.Front, v.Try.From, v.At) && w.Touch.through(k.Machine, v.Try.From, v.At) {
+		if w.Touch.through(v.Try.Front, v.Try.From, v.At) && w.Touch.through(k.Machine, v.Try.From, v.At) {
 			w.blame(Drain, "%s reached %s %v after its leave was acknowledged by %s", v.Try.ID, k.Name, v.At.Sub(k.Acked), k.By)
 		}
 	}
--- a/internal/stand/witness/risk.go
+++ b/internal/stand/witness/risk.go
@@ -50,6 +50,9 @@
 		if _, ok := w.planned(t); ok {
 			out[Lost]++
 		}
+		if t.left() && t.Repeat && t.atWork() != nil {
+			out[Gone]++
+		}
 		if t.Got.Status == 404 {
 			out[Denied]++
 		}
--- a/internal/stand/witness/witness.go
+++ b/internal/stand/witness/witness.go
@@ -18,6 +18,7 @@
 	Denied  = "DENIED"  // proper ones turned away with the mesh's own 3xx or 4xx
 	Route   = "ROUTE"   // a run at a service that no document ever allowed
 	Drain   = "DRAIN"   // sent to a worker that left, after the bound
+	Gone    = "GONE"    // work begun, or gone on with, for a caller that had left
 	Lost    = "LOST"    // broken off in planned work, or gone after an acknowledgement
 	Config  = "CONFIG"  // an older document acted on, a broken one taken
 	Budget  = "BUDGET"  // more repeats than the window allows
@@ -29,7 +30,7 @@
 )
 
 // Rules lists all counts.
-var Rules = []string{Mixed, Unasked, Twice, Refused, Denied, Route, Drain, Lost, Config, Budget, Recover, One, Order, Stale, Acks}
+var Rules = []string{Mixed, Unasked, Twice, Refused, Denied, Route, Drain, Gone, Lost, Config, Budget, Recover, One, Order, Stale, Acks}
 
 // Bounds are the figures that the rules are counted by.
 type Bounds struct {
