A sign-off is a worker's last word, and an acknowledged leave outlives its node

A beat that the worker had sent before came 2.2 s later, was taken for the first of a new worker, and registered it again as up. The same class, found by looking: an address that passed on (an old worker's late beat evicted the new one); a restart of the node (the number was in its memory alone, and an entry that drains was not taken up); a sign-off that comes before the node knows what its earlier start had registered; two calls at once (the check and its effect were two steps). Ruled out: a merge (the registration was the owner's own and new), requests that waited (none for 2.2 s).

Now: an identity that signed off, or whose address another has, is never taken again; tombstones carry it, so it survives a refill; control nodes keep it on disk. A leave is acknowledged only when a control node has noted it, since the acknowledgement binds also when the node is gone; else 503. Entries that drain carry the number of the call.

TestLeaveUnheard: acknowledged before though nobody else could know, not any more.

--- a/internal/ormap/mend.go
+++ b/internal/ormap/mend.go
@@ -32,9 +32,9 @@
 			d.Adds = append(d.Adds, *e)
 		}
 	}
-	for dot, g := range m.dead {
+	for dot := range m.dead {
 		if want[bucket(hash(dot))] {
-			d.Dead = append(d.Dead, Grave{dot, g.why})
+			d.Dead = append(d.Dead, m.grave(dot))
 		}
 	}
 	return d
@@ -80,7 +80,7 @@
 			continue
 		}
 		if d, ok := m.tomb[h]; ok {
-			give.Dead = append(give.Dead, Grave{d, m.dead[d].why})
+			give.Dead = append(give.Dead, m.grave(d))
 		} else {
 			want = append(want, h)
 		}
@@ -120,12 +120,12 @@
 		}
 		// It may have died since its hash was named.
 		if d, ok := m.tomb[h]; ok {
-			out.Dead = append(out.Dead, Grave{d, m.dead[d].why})
+			out.Dead = append(out.Dead, m.grave(d))
 		}
 	}
 	for _, e := range given {
-		if g, ok := m.dead[e.Dot]; ok {
-			out.Dead = append(out.Dead, Grave{e.Dot, g.why})
+		if _, ok := m.dead[e.Dot]; ok {
+			out.Dead = append(out.Dead, m.grave(e.Dot))
 		}
 	}
 	return out
--- a/internal/ormap/ormap.go
+++ b/internal/ormap/ormap.go
@@ -37,6 +37,9 @@
 type Grave struct {
 	Dot Dot    `msgpack:"d"`
 	Why string `msgpack:"w"`
+	// Worker is set where the worker itself is gone for good, and not just this
+	// registration: no entry may name that identity again.
+	Worker string `msgpack:"k,omitempty"`
 }
 
 // Delta is what changed, or a part of a replica.
@@ -54,8 +57,9 @@
 const Ranges = 64
 
 type grave struct {
-	why  string
-	when time.Time // learned here, by the monotonic clock
+	why    string
+	worker string    // that is gone for good
+	when   time.Time // learned here, by the monotonic clock
 }
 
 // Map is one replica.
@@ -66,12 +70,13 @@
 	in   [Ranges]map[uint64]*Entry // the same of each range by their hash
 	sum  [Ranges]uint64            // their digest, kept as they change
 	tomb map[uint64]Dot            // the dead dots by their hash
+	gone map[string][]Dot          // workers that are gone for good, with the dots that tell so
 	pool *Pool
 }
 
 // New makes an empty replica.
 func New() *Map {
-	m := &Map{live: map[Dot]*Entry{}, dead: map[Dot]grave{}, tomb: map[uint64]Dot{}}
+	m := &Map{live: map[Dot]*Entry{}, dead: map[Dot]grave{}, tomb: map[uint64]Dot{}, gone: map[string][]Dot{}}
 	for i := range m.in {
 		m.in[i] = map[uint64]*Entry{}
 	}
@@ -106,7 +111,10 @@
 		if _, ok := m.dead[g.Dot]; ok {
 			continue
 		}
-		m.dead[g.Dot] = grave{g.Why, now}
+		m.dead[g.Dot] = grave{g.Why, g.Worker, now}
+		if g.Worker != "" {
+			m.gone[g.Worker] = append(m.gone[g.Worker], g.Dot)
+		}
 		m.tomb[hash(g.Dot)] = g.Dot
 		news.Dead = append(news.Dead, g)
 		if e, ok := m.live[g.Dot]; ok {
@@ -135,7 +143,7 @@
 	var d Delta
 	for dot, e := range m.live {
 		if pick(*e) {
-			d.Dead = append(d.Dead, Grave{dot, why})
+			d.Dead = append(d.Dead, Grave{Dot: dot, Why: why})
 		}
 	}
 	sort.Slice(d.Dead, func(i, j int) bool { return less(d.Dead[i].Dot, d.Dead[j].Dot) })
@@ -195,6 +203,7 @@
 		if time.Since(g.when) > keep {
 			delete(m.dead, d)
 			delete(m.tomb, hash(d))
+			m.forget(g.worker, d)
 			n++
 		}
 	}
@@ -206,7 +215,7 @@
 func (m *Map) Clear(stay func(Entry) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.dead, m.tomb = map[Dot]grave{}, map[uint64]Dot{}
+	m.dead, m.tomb, m.gone = map[Dot]grave{}, map[uint64]Dot{}, map[string][]Dot{}
 	for d, e := range m.live {
 		if !stay(*e) {
 			m.drop(d)
--- a/internal/ormap/pack.go
+++ b/internal/ormap/pack.go
@@ -11,7 +11,8 @@
 )
 
 // wide is the columns of a packed delta. Entries and graves share the table; a
-// grave has its reason where an entry has its service, and no owner.
+// grave has its reason where an entry has its service, the worker if that is gone
+// for good, and no owner.
 const wide = 8
 
 // Pack gives the delta in its short form, which travels in the place of the
@@ -45,7 +46,7 @@
 	dead := append([]Grave(nil), d.Dead...)
 	sort.SliceStable(dead, func(i, j int) bool { return less(dead[i].Dot, dead[j].Dot) })
 	for _, g := range dead {
-		put("-"+g.Dot.Node, stamp(g.Dot.At), "", g.Why, "", "", "", "")
+		put("-"+g.Dot.Node, stamp(g.Dot.At), "", g.Why, g.Worker, "", "", "")
 	}
 	return Delta{Short: squeeze.Pack(cols)}
 }
@@ -76,7 +77,7 @@
 		case err != nil || node == "":
 			return Delta{}, fault.New(fault.Input, "a packed dot %q %q", node, cols[1][i])
 		case node[0] == '-':
-			out.Dead = append(out.Dead, Grave{Dot{node[1:], at}, cols[3][i]})
+			out.Dead = append(out.Dead, Grave{Dot: Dot{node[1:], at}, Why: cols[3][i], Worker: cols[4][i]})
 		default:
 			out.Adds = append(out.Adds, Entry{Dot: Dot{before(node[1:], owner), at}, Owner: owner, Service: cols[3][i],
 				Worker: before(cols[4][i], owner), Inner: cols[5][i], Area: cols[6][i], Meta: unmeta(cols[7][i], cols[5][i])})
--- a/internal/ormap/pack_test.go
+++ b/internal/ormap/pack_test.go
@@ -28,7 +28,7 @@
 			d.Adds = append(d.Adds, e)
 		}
 		for range rapid.IntRange(0, 5).Draw(t, "dead") {
-			d.Dead = append(d.Dead, Grave{dot(), text.Draw(t, "why")})
+			d.Dead = append(d.Dead, Grave{Dot: dot(), Why: text.Draw(t, "why"), Worker: text.Draw(t, "gone")})
 		}
 		got, err := d.Pack().Open()
 		if err != nil {
--- a/internal/proxy/beat.go
+++ b/internal/proxy/beat.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/outer"
@@ -37,11 +36,17 @@
 		outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: "the beat is wrong", Faults: bad})
 		return
 	}
-	x.beat(v.Text("worker"), v.Text("service"), v.Text("addr"), int(v.Count("slots")), v.Text("state"), 0)
-	outer.JSON(w, http.StatusOK, map[string]any{"beat_ms": x.P.WorkerBeat().Milliseconds(), "missed_ms": x.P.Missed().Milliseconds()})
+	x.takeCall(workerCall{worker: v.Text("worker"), service: v.Text("service"), addr: v.Text("addr"), slots: int(v.Count("slots")), state: v.Text("state")})
+	x.acknowledge(w, r, v.Text("worker"), v.Text("state"), map[string]any{"beat_ms": x.P.WorkerBeat().Milliseconds(), "missed_ms": x.P.Missed().Milliseconds()})
 }
 
-func (x *Proxy) beat(worker, service, addr string, slots int, say string, cold time.Duration) {
+// beat does what a worker's call says. x.calling is held.
+func (x *Proxy) beat(c workerCall) {
+	worker, service, addr, slots, say := c.worker, c.service, c.addr, c.slots, c.state
+	if say == saysGone {
+		x.signsOff(worker)
+		return
+	}
 	x.mu.Lock()
 	g := x.gates[worker]
 	var old []*gate
@@ -56,25 +61,26 @@
 	if g != nil && x.gates[worker] == nil {
 		g = nil
 	}
-	if g == nil && say != "gone" {
+	if g == nil {
 		g = newGate(worker, service, addr, slots, x.P.Window)
 		x.gates[worker] = g
 	}
 	x.mu.Unlock()
 	for _, o := range old {
 		x.e.Log.Emit(event.Evicted, "worker", o.worker, "by", worker, "addr", addr)
-		x.drop(o, "evicted")
-	}
-	if g == nil {
-		return
+		if o.worker == worker {
+			x.drop(o, "evicted")
+		} else {
+			x.departs(o, "evicted")
+		}
 	}
 	x.hears(g, say == "up")
-	if cold > 0 {
-		g.own.Cold(cold)
+	if c.cold > 0 {
+		g.own.Cold(c.cold)
 	}
 	g.mu.Lock()
 	resized := g.slots != slots
-	g.slots = slots
+	g.slots, g.seq = slots, max(g.seq, c.number)
 	sick := g.bad >= 2
 	g.mu.Unlock()
 	if resized {
@@ -85,11 +91,6 @@
 		say = "draining"
 	}
 	switch say {
-	case "gone":
-		x.mu.Lock()
-		delete(x.gates, worker)
-		x.mu.Unlock()
-		x.drop(g, "signed off")
 	case "draining":
 		x.drain(g)
 	case "up":
@@ -102,6 +103,29 @@
 	}
 }
 
+// signsOff takes a worker's last word, also where its gate is not known: this node
+// may have started since.
+func (x *Proxy) signsOff(worker string) {
+	x.mu.Lock()
+	g := x.gates[worker]
+	delete(x.gates, worker)
+	x.mu.Unlock()
+	if g == nil {
+		x.depart(worker, signedOff)
+		return
+	}
+	x.departs(g, signedOff)
+}
+
+// departs shuts the gate of a worker that is gone for good. x.calling is held.
+func (x *Proxy) departs(g *gate, why string) {
+	g.room.Close()
+	x.moves(g, "gone", why)
+	g.tell.Lock()
+	defer g.tell.Unlock()
+	x.depart(g.worker, why)
+}
+
 // drop shuts a gate for good and removes its entry.
 func (x *Proxy) drop(g *gate, why string) {
 	g.room.Close()
--- a/internal/proxy/fit.go
+++ b/internal/proxy/fit.go
@@ -63,6 +63,10 @@
 		return
 	}
 	meta := map[string]string{"slots": strconv.Itoa(g.slots), "state": say, "addr": g.addr}
+	if say == "draining" && g.seq > 0 {
+		// A later start of this node knows by it which calls are older.
+		meta["call"] = strconv.FormatInt(g.seq, 10)
+	}
 	doubts := g.own.Doubts(x.pick.Failing(g.service))
 	if doubts > 0 {
 		meta["doubts"] = strconv.Itoa(doubts)
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -177,7 +177,7 @@
 
 func (x *Proxy) signOff() {
 	for _, g := range x.allGates() {
-		x.drop(g, "signed off")
+		x.drop(g, "its node stopped")
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -69,6 +69,11 @@
 	late      context.Context // over when a stop can wait for jobs no longer
 	over      context.CancelFunc
 
+	calling    sync.Mutex // one call of a worker at a time; taken before mu
+	lastCalls  map[string]lastCall
+	departures map[string]time.Time // workers that are gone for good, and since when
+	kept       map[string]string    // the state of leaving workers that a control node has noted
+
 	mu    sync.Mutex
 	gates map[string]*gate // worker identity to its gate
 	met   map[string]time.Time
@@ -83,7 +88,7 @@
 // New readies a proxy.
 func New(p props.Props, e env.Env) *Proxy {
 	g := task.New(context.Background()).Pace(e.Pause)
-	x := &Proxy{P: p, e: e, g: g, well: make(chan struct{}), gates: map[string]*gate{}, met: map[string]time.Time{}, tally: map[armKey]*armTally{}, live: map[string]time.Time{}, boot: fresh(), born: time.Now(), say: e.Say}
+	x := &Proxy{P: p, e: e, g: g, well: make(chan struct{}), gates: map[string]*gate{}, met: map[string]time.Time{}, tally: map[armKey]*armTally{}, live: map[string]time.Time{}, lastCalls: map[string]lastCall{}, departures: map[string]time.Time{}, kept: map[string]string{}, boot: fresh(), born: time.Now(), say: e.Say}
 	x.late, x.over = context.WithCancel(g.Context())
 	if x.say.Name == "" {
 		x.say = tongue.Own
@@ -223,6 +228,7 @@
 		x.buryOld()
 	}
 	x.way.sweep()
+	x.forgetCalls()
 	x.knows.forget(time.Now())
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -233,17 +239,5 @@
 	}
 }
 
-// meet notes an attempt; false means that it was here before.
-func (x *Proxy) meet(id string, left time.Duration) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if _, ok := x.met[id]; ok {
-		return false
-	}
-	// Longer than the attempt could still be under way anywhere.
-	x.met[id] = time.Now().Add(2*left + x.P.Return)
-	return true
-}
-
 // Links counts the links to fellows that stand, whoever dialed them.
 func (x *Proxy) Links() int { return x.n.Links() }
--- a/internal/proxy/worker.go
+++ b/internal/proxy/worker.go
@@ -7,8 +7,6 @@
 	"github.com/go-chi/chi/v5"
 
 	"puffincrank/internal/event"
-	"puffincrank/internal/nominate"
-	"puffincrank/internal/ormap"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/settings"
 )
@@ -52,67 +50,14 @@
 		outer.JSON(w, http.StatusUnprocessableEntity, outer.Wrong{Wrong: "the beat is wrong", Faults: bad})
 		return
 	}
-	// A late one changes nothing, but it was heard.
-	if !x.newer(id, v.Count("seq")) {
-		x.e.Log.Emit(event.CallLate, "worker", id, "call", v.Count("seq"), "says", v.Text("state"))
-	} else {
-		x.beat(id, v.Text("service"), v.Text("addr"), int(v.Count("slots")), v.Text("state"), time.Duration(v.Share("cold_ms"))*time.Millisecond)
-		// The first of a worker has a gate only now.
-		x.newer(id, v.Count("seq"))
-	}
-	outer.JSON(w, http.StatusOK, struct{}{})
+	x.takeCall(workerCall{worker: id, service: v.Text("service"), addr: v.Text("addr"), slots: int(v.Count("slots")), state: v.Text("state"),
+		cold: time.Duration(v.Share("cold_ms")) * time.Millisecond, number: v.Count("seq")})
+	x.acknowledge(w, r, id, v.Text("state"), struct{}{})
 }
 
 // onLeave takes a worker's sign-off.
 func (x *Proxy) onLeave(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
-	if g := x.gateOf(id); g != nil {
-		x.beat(id, g.service, g.addr, g.slots, "gone", 0)
-	}
-	outer.JSON(w, http.StatusOK, struct{}{})
-}
-
-// adopt takes up the own worker's entry of an earlier start: it would else stand
-// idle until its next beat. Only where the platform says which address is the
-// own worker's; should another stand there by now, it refuses what isn't its.
-func (x *Proxy) adopt() {
-	p := x.set()
-	if p.Worker == "" || x.say.Asks {
-		return
-	}
-	old := x.rep.Map().Live(func(e ormap.Entry) bool {
-		return e.Owner == x.P.Node && e.Dot.Node != x.rep.Dot() && e.Meta["addr"] == p.Worker && e.Service == p.Service && e.Meta["state"] == "up"
-	})
-	if len(old) == 0 || len(x.allGates()) > 0 {
-		return
-	}
-	last := old[0]
-	for _, e := range old {
-		// Two workers would mean that one of them is over, and not which.
-		if e.Worker != last.Worker {
-			return
-		}
-		// Core machines may have kept one worker's earlier entries too.
-		if last.Dot.Compare(e.Dot) < 0 {
-			last = e
-		}
-	}
-	x.beat(last.Worker, last.Service, last.Meta["addr"], nominate.Slots(last), "up", 0)
-}
-
-// newer tells whether a call of a worker comes after all that were heard.
-func (x *Proxy) newer(worker string, seq int64) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	g := x.gates[worker]
-	if g == nil {
-		return true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if seq != 0 && seq <= g.seq {
-		return false
-	}
-	g.seq = seq
-	return true
+	x.takeCall(workerCall{worker: id, state: saysGone})
+	x.acknowledge(w, r, id, saysGone, struct{}{})
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -82,13 +82,14 @@
 	seenOf map[reportKey]session.Report // judge: the newest report of each front's start
 	away   map[string]time.Time         // steward: since when a node has no session
 	filled time.Time
-	keptAs uint64 // the replica's digest when it was last kept on the disk
+	saving task.Lock // one save of the workers at a time
+	keptAs uint64    // the replica's digest when it was last kept on the disk
 }
 
 // New readies a registry.
 func New(p props.Props, e env.Env) *Registry {
 	g := task.New(context.Background()).Pace(e.Pause)
-	r := &Registry{P: p, e: e, g: g, own: map[string]*nodeSession{}, others: map[string]*shared{}, known: map[string]time.Time{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
+	r := &Registry{P: p, e: e, g: g, saving: task.NewLock(), own: map[string]*nodeSession{}, others: map[string]*shared{}, known: map[string]time.Time{}, away: map[string]time.Time{}, seenOf: map[reportKey]session.Report{}}
 	var b [6]byte
 	_, _ = rand.Read(b[:])
 	r.self = member.Fellow{Node: p.Node, Start: hex.EncodeToString(b[:]), Role: "registry", Area: p.Area, Inner: p.Inner, Outer: p.Outer}
@@ -123,6 +124,7 @@
 	wire.On(r.n, "session.share", r.onShare)
 	wire.On(r.n, "session.members", r.onMembers)
 	wire.On(r.n, "outer.call", r.onOuter)
+	wire.On(r.n, session.WorkerLeaves, r.onWorkerLeaves)
 	wire.On(r.n, "registry.status", r.onStatus)
 	wire.On(r.n, "registry.reports", r.onReports)
 	r.routes = r.outerRoutes()
--- a/internal/registry/savedworkers.go
+++ b/internal/registry/savedworkers.go
@@ -18,12 +18,14 @@
 // savedWorkers is the file's content.
 type savedWorkers struct {
 	Mesh string      `msgpack:"m"`
-	All  ormap.Delta `msgpack:"a"`
+	All  ormap.Delta `msgpack:"a"` // the live entries, and who is gone for good
 }
 
 // saveWorkers writes the live entries where they have changed. It is best effort: a
 // disk in trouble costs no more than what this file would have saved.
 func (r *Registry) saveWorkers(context.Context) {
+	r.saving.Lock()
+	defer r.saving.Unlock()
 	now := ormap.Total(r.rep.Map().Digests())
 	if r.e.FS == nil || !r.life.Is("ready") || now == r.keptAs {
 		return
@@ -32,7 +34,7 @@
 	if len(live) == 0 {
 		return
 	}
-	raw, err := msgpack.Marshal(savedWorkers{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live}.Pack()})
+	raw, err := msgpack.Marshal(savedWorkers{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live, Dead: r.rep.Map().Departures("")}.Pack()})
 	if err == nil && disk.Save(r.e.FS, workersFile, raw) == nil {
 		r.keptAs = now
 	}
@@ -56,6 +58,7 @@
 	if err != nil {
 		return
 	}
+	r.rep.Accept(ormap.Delta{Dead: all.Dead})
 	for _, e := range all.Adds {
 		if live, dead := r.rep.Map().Knows(e.Dot.Hash()); live || dead {
 			return
@@ -64,5 +67,5 @@
 	if 2*len(r.rep.Map().Live(nil)) >= len(all.Adds) {
 		return
 	}
-	r.rep.Recall(all)
+	r.rep.Recall(ormap.Delta{Adds: all.Adds})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -164,6 +164,25 @@
 	r.take(r.m.Bury(why, func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node }), true)
 }
 
+// Depart removes a worker's registrations of this node and tells all that the
+// worker is gone for good. Where none is known there is nothing to tell by; false
+// means that.
+func (r *Replica) Depart(worker, why string) bool {
+	d := r.m.Depart(worker, why, func(e ormap.Entry) bool { return e.Owner == r.self.Node })
+	r.take(d, true)
+	return len(d.Dead) > 0
+}
+
+// WordOf gives what is known of a worker of this node: its registrations, and
+// that it is gone for good.
+func (r *Replica) WordOf(worker string) ormap.Delta {
+	live := r.m.Live(func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node })
+	return ormap.Delta{Adds: live, Dead: r.m.Departures(worker)}
+}
+
+// Accept takes in what a node says of its worker, and spreads what was news.
+func (r *Replica) Accept(d ormap.Delta) { r.take(d, true) }
+
 // Retire buries the observed entries of a dead node; the count is given back.
 func (r *Replica) Retire(node string, pick func(ormap.Entry) bool) int {
 	d := r.m.Bury("retired", func(e ormap.Entry) bool { return e.Owner == node && pick(e) })
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -178,6 +178,10 @@
 	Rest    int64               `msgpack:"re,omitempty"` // ms until the front, told to end, waits for answers no more; 0: it was not told to
 }
 
+// WorkerLeaves is the kind of message by which a node has a control node note that
+// its worker leaves, before it acknowledges that.
+const WorkerLeaves = "worker.leaves"
+
 // The outcomes of an attempt.
 const (
 	Done    = "done"
--- a/internal/sim/withdraw_test.go
+++ b/internal/sim/withdraw_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"puffincrank/internal/event"
 	"puffincrank/internal/stand/play"
 	"puffincrank/internal/stand/witness"
 )
@@ -50,3 +55,104 @@
 		}
 	})
 }
+
+// TestLeaveOutlivesNode: a leave that was acknowledged holds when the node that
+// acknowledged it is killed right after, alone or with the whole mesh, and when a
+// beat of before comes only after its new start.
+func TestLeaveOutlivesNode(t *testing.T) {
+	t.Parallel()
+	for _, signsOff := range []bool{false, true} {
+		for _, all := range []bool{false, true} {
+			t.Run(fmt.Sprintf("signs off first %v, all killed %v", signsOff, all), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { playLeaveOutlives(t, signsOff, all) })
+			})
+		}
+	}
+}
+
+func playLeaveOutlives(t *testing.T, signsOff, all bool) {
+	s := newSite(t, reader(1, 0.12), 1)
+	a := act{s, rand.New(rand.NewPCG(1, 2)), &[]*Core{}}
+	var m *machine
+	bad := s.day(16*time.Second, func() {
+		Wait(time.Second)
+		m = s.machines[0]
+		over := make(chan struct{})
+		s.g.Go("leave", func(context.Context) {
+			m.w.LeaveBy(context.Background(), play.Manner{SignsOff: signsOff, Late: 1500 * time.Millisecond, More: 6 * time.Second})
+			close(over)
+		})
+		for !m.w.Acknowledged() {
+			Wait(time.Millisecond)
+		}
+		a.killSome(m, all)
+		<-over
+	})
+	if len(bad) > 0 {
+		t.Errorf("broken: %v", bad)
+	}
+	if s.wit.Risk()[witness.Drain] == 0 {
+		t.Error("the worker had no traffic before it left: the test shows nothing")
+	}
+}
+
+// killSome kills a machine's node, or all processes of the mesh, and starts them
+// again half a second later.
+func (a act) killSome(m *machine, all bool) {
+	list := []*machine{m}
+	if all {
+		list = a.all()
+		for _, c := range a.cores() {
+			a.killCore(c, false)
+		}
+	}
+	var ends []func()
+	for _, m := range list {
+		ends = append(ends, a.wit.Touch.Begin(m.name, "killed"))
+		a.KillNode(m.Node)
+	}
+	Wait(500 * time.Millisecond)
+	if all {
+		for _, c := range a.cores() {
+			a.startCore(c, false)
+		}
+	}
+	for i, m := range list {
+		a.boot(m)
+		ends[i]()
+	}
+}
+
+// TestLeaveUnheard: a leave that no control node can note is in force at once and
+// isn't acknowledged; it is as soon as one can.
+func TestLeaveUnheard(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, reader(1, 0.12), 1)
+		a := act{s, rand.New(rand.NewPCG(1, 2)), &[]*Core{}}
+		var drains atomic.Bool
+		s.Log = func(e event.Entry) {
+			if e.Name == "worker-state" && strings.Contains(e.Say, "to=draining") {
+				drains.Store(true)
+			}
+		}
+		s.day(12*time.Second, func() {
+			m := s.machines[0]
+			a.cutOff(m, true)
+			s.g.Go("leave", func(context.Context) { m.w.LeaveBy(context.Background(), play.Manner{More: 4 * time.Second}) })
+			Wait(1500 * time.Millisecond)
+			if m.w.Acknowledged() {
+				t.Error("acknowledged, though nobody else can know of it")
+			}
+			if !drains.Load() {
+				t.Error("not in force")
+			}
+			a.cutOff(m, false)
+			Wait(2 * time.Second)
+			if !m.w.Acknowledged() {
+				t.Error("still not acknowledged")
+			}
+		})
+	})
+}
--- a/internal/stand/play/beat.go
+++ b/internal/stand/play/beat.go
@@ -146,6 +146,13 @@
 	k.Kill()
 }
 
+// Acknowledged tells whether its leave was.
+func (k *Worker) Acknowledged() bool {
+	yes := false
+	k.wit.Change(func() { yes = !k.Acked.IsZero() })
+	return yes
+}
+
 // Ask makes one call on a connection of its own; the code is 0 when no whole
 // answer came in time.
 func Ask(ctx context.Context, e dialer, method, at, uri string, body []byte, long time.Duration) (int, []byte) {
