A caller's leaving ends its work: told to the owner, looked at before each send

The owner's send to its worker went by the attempt's time alone, also where front and owner are one node, and a link told its far side nothing. What waited for a slot was begun for nobody. Besides, a front that abandoned a call took its owner for unreachable and shunned it, and the worker for one that had failed. Ruled out: that it is told and lost on its way (runs at the front's own worker went on, too), that the front doesn't see it (caller-left in the logs).

Now: a call of a kind that may be abandoned ends at the far side when its asker's context is cancelled, by a word of a few bytes on the most urgent lane that is never turned away, or when the link over which its receipt would go ends. The owner ends what may run again by the worker's connection; what may run once goes on; nothing is begun, which is looked at again right before the send. A front that ends cancels with a cause of its own and abandons nothing.

Eight mutants.

--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -11,7 +11,7 @@
 		`		return session.Back{Kind: session.Unknown, Why: "no receipt from the owner",`, `		return session.Back{Kind: session.Refused, Why: "no receipt from the owner",`, "sim", "TestHalfOpen"},
 
 	{"busy-for-unknown", Busy, "internal/proxy/answer.go", "	case j.unknown != nil:\n		code := http.StatusBadGateway", "	case j.unknown != nil && j.unknown.Late:\n		code := http.StatusBadGateway", "sim", "TestWorkerKilled"},
-	{"worker-busy-believed", Busy, "internal/proxy/owner.go", `	notRun := x.notRun(b)`, `	notRun := true`, "sim", "TestStorms"},
+	{"worker-busy-believed", Busy, "internal/proxy/unseal.go", `	notRun := x.notRun(b)`, `	notRun := true`, "sim", "TestStorms"},
 	{"unknown-forgotten", Busy, "internal/proxy/weigh.go", "		j.unknown = &b\n", "		_ = b\n", "sim", "TestBadWorkers"},
 
 	{"seal-not-compared", Whole, "internal/proxy/unseal.go",
@@ -25,6 +25,16 @@
 	{"gate-not-asked", Leaving, "internal/proxy/gate.go", "	if !g.word.After(woke) || time.Since(g.word) > x.P.Missed() {", "	if g.word.IsZero() && woke.IsZero() {", "sim", "TestFrozenOwner"},
 	{"draining-ignored", Leaving, "internal/proxy/beat.go", "	case \"draining\":\n		x.drain(g)", "	case \"draining\":\n		x.hears(g, true)", "sim", "TestDrain"},
 
+	{"sign-off-forgotten", Leaving, "internal/proxy/workercall.go", "	if c.state != saysGone && (late || x.departed(c.worker)) {", "	if c.state != saysGone && late {", "sim", "TestLateBeatAfterSignOff"},
+	{"departure-untold", Leaving, "internal/replica/replica.go", "	d := r.m.Depart(worker, why, func(e ormap.Entry) bool { return e.Owner == r.self.Node })", "	d := r.m.Bury(why, func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node })", "sim", "TestLeaveOutlivesNode"},
+	{"leave-not-kept", Leaving, "internal/proxy/acknowledge.go", "	if state != saysUp && !x.leaveKept(r.Context(), worker, state) {", "	if !x.leaveKept(r.Context(), worker, state) && state == saysUp {", "sim", "TestLeaveUnheard"},
+	{"older-call-taken", Leaving, "internal/proxy/workercall.go", "	late := c.number != 0 && c.number <= newest.number", "	late := c.number != 0 && c.number == newest.number", "proxy", "TestOlderCall"},
+
+	{"run-goes-on", Left, "internal/proxy/callerleft.go", "		if !v.in.Safe {", "		if v.in.Safe || !v.in.Safe {", "sim", "TestCallersLeave"},
+	{"leaving-not-passed-on", Left, "internal/wire/call.go", "	if waits && !certain {\n		l.abandons", "	if waits && certain {\n		l.abandons", "sim", "TestCallersLeave"},
+	{"begun-for-nobody", Left, "internal/proxy/owner.go", "	if wire.Abandoned(ctx) {\n		return v.refuse", "	if wire.Abandoned(ctx) && v.held && !v.held {\n		return v.refuse", "proxy", "TestBegunForNobody"},
+	{"lost-front-awaited", Left, "internal/wire/link.go", "		l.abandonAll()\n", "", "wire", "TestAbandonedWithLink"},
+
 	{"front-not-confirmed", Newest, "internal/touch/round.go", "\tif w := t.Word(); w != session.Unsure {\n\t\treturn w\n\t}\n\tctx, over", "\treturn session.Sure\n\tctx, over", "sim", "TestFrozenFront"},
 	{"step-back", Newest, "internal/proxy/start.go", "		if old != nil && old.Version >= version {", "		if old != nil && old.Version == version {", "proxy", "TestNeverBack"},
 	{"late-is-cut", Newest, "internal/touch/round.go", "	return \"\", t.verdict(began, outs, <-rung || quick), began", "	return \"\", max(session.Lost, session.Word(-outs)), began", "sim", "TestChokedLine"},
--- a/internal/mutant/mutant.go
+++ b/internal/mutant/mutant.go
@@ -34,6 +34,7 @@
 	Whole    = "success is whole and one's own"
 	Stranger = "nothing to a stranger"
 	Leaving  = "no new job 2 s after leaving"
+	Left     = "no work for callers who left"
 	Newest   = "nobody in touch acts on an older version; none steps back"
 	Kept     = "broken ones refused, acknowledged ones kept"
 	Repeats  = "repeats within the bound"
@@ -45,7 +46,7 @@
 )
 
 // Promises lists them in the brief's order.
-var Promises = []string{Twice, Busy, Whole, Stranger, Leaving, Newest, Kept, Repeats, Planned, Rising, Reads, Passing, Return}
+var Promises = []string{Twice, Busy, Whole, Stranger, Leaving, Left, Newest, Kept, Repeats, Planned, Rising, Reads, Passing, Return}
 
 // Overlay writes the broken file and the overlay that lays it over the tree at
 // root; both go into dir. An error means that the breakage no longer applies.
--- a/internal/proxy/callerleft.go
+++ b/internal/proxy/callerleft.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 
 	"puffincrank/internal/event"
+	"puffincrank/internal/wire"
 )
 
 // name is the id by which a job is known outside: its caller's own, if it has one.
@@ -24,3 +27,52 @@
 		x.gone.Emit(x.e.Log, event.CallerLeft, "request", request)
 	})
 }
+
+// endsWith ends the run of an attempt when its caller leaves, by the connection to
+// the worker, if it may run again: whoever sends it anew has it run anew. What may
+// run but once goes on, since its effect may be half done. The result, false if the
+// connection was ended, is called before the connection is used again.
+func (x *Proxy) endsWith(ctx context.Context, v *visit, k *line) (release func() bool) {
+	var mu sync.Mutex
+	over := false
+	stop := context.AfterFunc(ctx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if over || !wire.Abandoned(ctx) {
+			return
+		}
+		x.step(v, stepCancelled, "")
+		if !v.in.Safe {
+			x.step(v, stepKept, "")
+			return
+		}
+		v.left = true
+		_ = k.c.Close()
+		x.step(v, stepEnded, "")
+		x.runsEnded.Emit(x.e.Log, event.RunEnded, "worker", v.in.Worker, "attempt", v.in.Attempt)
+	})
+	return func() bool {
+		stop()
+		mu.Lock()
+		defer mu.Unlock()
+		over = true
+		return !v.left
+	}
+}
+
+// errEnding is why a job's context ends when its front can wait for it no longer.
+// Its caller is still there, so nothing is abandoned by it.
+var errEnding = errors.New("the front is ending")
+
+// jobContext is the context of a job: until its time is up, its caller has left, or
+// a stop of this node can wait for it no longer.
+func (x *Proxy) jobContext(j *job) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(j.req.Context())
+	ctx, end := context.WithDeadline(ctx, j.end)
+	heeds := context.AfterFunc(x.late, func() { cancel(errEnding) })
+	return ctx, func() {
+		heeds()
+		end()
+		cancel(nil)
+	}
+}
--- /dev/null
+++ b/internal/proxy/callerleft_test.go
@@ -0,0 +1,41 @@
+package proxy
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"puffincrank/internal/session"
+)
+
+// TestBegunForNobody: what waits for a slot, a connection or a configuration is
+// looked at once more before it goes out; nothing is begun for a caller that left.
+// What a cancel with a cause of its own ends is not that.
+func TestBegunForNobody(t *testing.T) {
+	x := &Proxy{}
+	for _, c := range []struct {
+		name string
+		end  func(ctx context.Context) context.Context
+		runs bool
+	}{
+		{"it waits", func(ctx context.Context) context.Context { return ctx }, true},
+		{"it left", func(ctx context.Context) context.Context {
+			ctx, stop := context.WithCancel(ctx)
+			stop()
+			return ctx
+		}, false},
+		{"its front ends", func(ctx context.Context) context.Context {
+			ctx, stop := context.WithCancelCause(ctx)
+			stop(errEnding)
+			return ctx
+		}, true},
+	} {
+		v := &visit{in: session.Hand{Said: "r"}, end: time.Now().Add(time.Minute)}
+		if got := x.timely(c.end(t.Context()), v); got != c.runs {
+			t.Errorf("%s: begun %v", c.name, got)
+		}
+		if !c.runs && v.back.Kind != session.Refused {
+			t.Errorf("%s: answered %+v", c.name, v.back)
+		}
+	}
+}
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -67,7 +67,7 @@
 		return v.refuse("no connection to the worker")
 	}
 	// The last look, now that nothing is waited for any more.
-	if !x.timely(v) || !x.open(v) {
+	if !x.timely(ctx, v) || !x.open(v) {
 		x.way.keep(k)
 		return false
 	}
@@ -78,7 +78,11 @@
 	// From here on the worker may have had the job, whatever an error says.
 	x.step(v, stepSent, "")
 	v.back.Came = true
-	w, body, err := x.way.send(k, r, v.end, x.surplus(v))
+	release := x.endsWith(ctx, v, k)
+	w, body, err := x.way.send(k, r, v.end, x.surplus(v), release)
+	if err != nil && v.left {
+		return v.unknown("its caller has left")
+	}
 	if err != nil {
 		v.stale = errors.Is(err, errForgot)
 		return v.unknown("no whole answer from the worker: " + plain(err))
--- a/internal/proxy/fit.go
+++ b/internal/proxy/fit.go
@@ -19,6 +19,9 @@
 	ms := own.Stop(v.run)
 	usual := x.pick.Usual(path)
 	switch {
+	case v.left:
+		// It was ended from here.
+		return
 	case v.stale:
 		// It forgot a connection that idled: a matter of how long they are kept.
 		return
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -117,10 +116,9 @@
 		x.busyNow(w, noRoom, x.load.come(x.P.Beat()))
 		return
 	}
-	ctx, stop := context.WithDeadline(r.Context(), j.end)
+	ctx, stop := x.jobContext(j)
 	defer stop()
 	defer x.heedsLeaving(j)()
-	defer context.AfterFunc(x.late, stop)()
 	x.run(ctx, j)
 	x.receipt(w, j)
 }
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -58,7 +58,7 @@
 			t.Fatal(err)
 		}
 		r, _ := http.NewRequest("GET", "http://10.0.0.1:1/x", nil)
-		w, body, err := y.send(k, r, time.Now().Add(time.Minute), nil)
+		w, body, err := y.send(k, r, time.Now().Add(time.Minute), nil, func() bool { return true })
 		if err != nil {
 			return
 		}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"puffincrank/internal/class"
 	"puffincrank/internal/event"
 	"puffincrank/internal/nominate"
-	"puffincrank/internal/seal"
 	"puffincrank/internal/session"
+	"puffincrank/internal/wire"
 )
 
 // visit is one attempt on its way through the owner.
@@ -27,6 +26,7 @@
 	run   *nominate.Run
 	mute  bool   // the worker took no connection
 	stale bool   // it had forgotten a kept connection
+	left  bool   // its run was ended, since its caller has left
 	lane  int    // that it came by
 	free  func() // gives back what was booked for its answer
 	ask   class.Ask
@@ -172,8 +172,12 @@
 	return x.open(v)
 }
 
-// timely looks whether the attempt has time left to be delivered in.
-func (x *Proxy) timely(v *visit) bool {
+// timely looks whether somebody still waits for the attempt, and whether it has
+// time left to be delivered in.
+func (x *Proxy) timely(ctx context.Context, v *visit) bool {
+	if wire.Abandoned(ctx) {
+		return v.refuse("its caller has left")
+	}
 	return time.Now().Before(v.end) || v.refuse("no time left before delivery")
 }
 
@@ -209,40 +213,8 @@
 	v.run = v.gate.own.Start(x.pick.Usual(v.in.Path))
 	// The wait may have been long: all that could have changed is looked at
 	// once more right before the job goes out.
-	if !x.timely(v) || !x.goes(v) {
+	if !x.timely(ctx, v) || !x.goes(v) {
 		return false
 	}
 	return x.sure(ctx, v) && x.checkRules(ctx, v)
 }
-
-// unseal checks the answer whole before anything of it is passed on.
-func (x *Proxy) unseal(_ context.Context, v *visit) bool {
-	b := &v.back
-	head := func(n string) string {
-		if l := b.Head[n]; len(l) > 0 {
-			return l[0]
-		}
-		return ""
-	}
-	notRun := x.notRun(b)
-	if why := x.broken(v, notRun); why != "" {
-		x.e.Log.Emit(event.Garbled, "worker", v.in.Worker, "attempt", v.in.Attempt, "status", b.Status, "why", why)
-		return v.unknown(why)
-	}
-	switch {
-	case notRun:
-		// Another worker at the address, or a full one: certain that it did
-		// not run, though it came that far.
-		if b.Status == http.StatusMisdirectedRequest && !x.say.Asks {
-			x.stranger(v.gate)
-		}
-		v.later("the worker refused: "+head(seal.Why), v.gate.room.Drain(v.in.Class))
-		v.back.Came = true
-		return false
-	case b.Status == 503 || b.Status == 429:
-		// The worker's own busy doesn't promise that the job never ran.
-		return v.unknown("the worker answered busy without a word on whether the job ran")
-	}
-	b.Kind, b.Seal, b.Worker = session.Done, head(x.say.Mark), v.in.Worker
-	return false
-}
--- a/internal/proxy/rested.go
+++ b/internal/proxy/rested.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -32,12 +33,21 @@
 	return most
 }
 
+// failed gives the error of a send that began at a time.
+func (y *way) failed(k *line, err error, from time.Time) error {
+	if y.forgot(k, err, time.Since(from)) {
+		return errForgot
+	}
+	return err
+}
+
 // forgot takes in that a send on a kept connection failed, and tells whether the
 // worker had forgotten it: at once, before a byte of an answer, after a rest.
 // Others that rest as long aren't used from then on. What rested for a short
 // time only was ended for another reason.
 func (y *way) forgot(k *line, err error, took time.Duration) bool {
-	if late, is := err.(net.Error); is && late.Timeout() {
+	if late, is := err.(net.Error); is && late.Timeout() || errors.Is(err, net.ErrClosed) {
+		// At its time, or ended from here.
 		return false
 	}
 	if k.rested < y.rest/16 || took > y.rest/16 || k.lim.N != y.most {
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -17,6 +17,7 @@
 // Start opens the ports and the session.
 func (x *Proxy) Start() error {
 	wire.On(x.n, "job.hand", x.onHand)
+	wire.Abandonable(x.n, "job.hand")
 	x.touch.Listen()
 	wire.On(x.n, "node.status", x.onStatus)
 	wire.On(x.n, "node.drain", x.onDrain)
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -127,7 +127,7 @@
 	h := session.Hand{Job: j.id, Attempt: fmt.Sprintf("%s.%d", j.id, j.sends), Path: j.path.Name, Arm: j.arm.Name,
 		Version: j.rules.Version, Service: j.service, Class: j.arm.Class, Worker: j.entry.Worker,
 		Host: j.req.Host, Method: j.req.Method, URI: j.req.URL.RequestURI(), Head: x.passed(j.req.Header), Body: j.body, Left: left.Milliseconds(),
-		Said: j.said, Caller: x.set().Service, Again: j.came > 0, Part: j.part, Word: j.word, Wait: x.bears().Milliseconds(), Rest: x.rests(),
+		Said: j.said, Caller: x.set().Service, Again: j.came > 0, Part: j.part, Word: j.word, Wait: x.bears().Milliseconds(), Rest: x.rests(), Safe: j.arm.Safe,
 		Aim: time.Until(j.first.Add(j.arm.Aim)).Milliseconds(), Seen: j.first.Before(j.from)}
 	if x.say.Keeps {
 		h.URI = origin(j.req)
@@ -166,7 +166,7 @@
 		x.calls.marks(j.path.Name)
 	}
 	// Only what the worker itself did speaks of its fitness.
-	counts := j.back.Kind != session.Refused
+	counts := j.back.Kind != session.Refused && !wire.Abandoned(ctx)
 	ok := j.back.Kind == session.Done && j.back.Status < 500
 	x.pick.Done(nominate.End{Worker: j.entry.Worker, Service: j.service, Path: j.path.Name, Used: j.back.Used,
 		Word: nominate.Word{Pace: j.back.Pace, Fail: j.back.Fail}, Took: time.Since(from),
@@ -191,6 +191,9 @@
 	case err == nil:
 	case full:
 		return x.thin(come)
+	case wire.Abandoned(ctx):
+		// It says nothing of the owner that nobody waited for it.
+		return session.Back{Kind: session.Unknown, Why: "the caller has left", Used: -1}
 	case fault.Is(err, fault.Unsent), fault.Is(err, fault.Refused):
 		x.pick.Shun(j.entry.Owner, x.P.Change/2)
 		return session.Back{Kind: session.Refused, Why: "owner can't be reached", Come: (x.P.Change / 2).Milliseconds(), Used: -1}
--- a/internal/proxy/unseal.go
+++ b/internal/proxy/unseal.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 
+	"puffincrank/internal/event"
 	"puffincrank/internal/seal"
 	"puffincrank/internal/session"
 )
@@ -51,3 +53,35 @@
 	}
 	return ""
 }
+
+// unseal checks the answer whole before anything of it is passed on.
+func (x *Proxy) unseal(_ context.Context, v *visit) bool {
+	b := &v.back
+	head := func(n string) string {
+		if l := b.Head[n]; len(l) > 0 {
+			return l[0]
+		}
+		return ""
+	}
+	notRun := x.notRun(b)
+	if why := x.broken(v, notRun); why != "" {
+		x.e.Log.Emit(event.Garbled, "worker", v.in.Worker, "attempt", v.in.Attempt, "status", b.Status, "why", why)
+		return v.unknown(why)
+	}
+	switch {
+	case notRun:
+		// Another worker at the address, or a full one: certain that it did
+		// not run, though it came that far.
+		if b.Status == http.StatusMisdirectedRequest && !x.say.Asks {
+			x.stranger(v.gate)
+		}
+		v.later("the worker refused: "+head(seal.Why), v.gate.room.Drain(v.in.Class))
+		v.back.Came = true
+		return false
+	case b.Status == 503 || b.Status == 429:
+		// The worker's own busy doesn't promise that the job never ran.
+		return v.unknown("the worker answered busy without a word on whether the job ran")
+	}
+	b.Kind, b.Seal, b.Worker = session.Done, head(x.say.Mark), v.in.Worker
+	return false
+}
--- a/internal/proxy/way.go
+++ b/internal/proxy/way.go
@@ -168,11 +168,12 @@
 
 // send writes a request once and reads the answer whole, within the time. The
 // answer is nil when anything at all went wrong.
-// An answer that is a surplus one is passed over, once.
-func (y *way) send(k *line, r *http.Request, end time.Time, surplus func(*http.Response) bool) (*http.Response, []byte, error) {
+// An answer that is a surplus one is passed over, once. The connection is held
+// until release is called; false means that it was ended meanwhile.
+func (y *way) send(k *line, r *http.Request, end time.Time, surplus func(*http.Response) bool, release func() bool) (*http.Response, []byte, error) {
 	good := false
 	defer func() {
-		if good {
+		if release() && good {
 			y.keep(k)
 		} else {
 			y.drop(k)
@@ -186,10 +187,7 @@
 		err = k.w.Flush()
 	}
 	if err != nil {
-		if y.forgot(k, err, time.Since(from)) {
-			err = errForgot
-		}
-		return nil, nil, err
+		return nil, nil, y.failed(k, err, from)
 	}
 	w, body, err := k.answer(r)
 	if err == nil && surplus != nil && surplus(w) {
@@ -197,10 +195,7 @@
 		w, body, err = k.answer(r)
 	}
 	if err != nil {
-		if y.forgot(k, err, time.Since(from)) {
-			err = errForgot
-		}
-		return nil, nil, err
+		return nil, nil, y.failed(k, err, from)
 	}
 	good = !w.Close && w.ProtoAtLeast(1, 1) && k.r.Buffered() == 0
 	k.rest = y.rests(w.Header.Get("Keep-Alive"))
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -175,6 +175,7 @@
 	Word    Word                `msgpack:"x,omitempty"`  // how sure the front was of Version, after the job was read
 	Wait    int64               `msgpack:"wt,omitempty"` // ms that it may wait for a slot at most; 0: as the owner sees fit
 	Stay    int64               `msgpack:"st,omitempty"` // of one that was refused elsewhere: ms of waiting that it has left; 0: no bound of its own
+	Safe    bool                `msgpack:"sf,omitempty"` // it may run again: its run ends when its caller leaves
 	Rest    int64               `msgpack:"re,omitempty"` // ms until the front, told to end, waits for answers no more; 0: it was not told to
 }
 
--- a/internal/sim/dayacts_test.go
+++ b/internal/sim/dayacts_test.go
@@ -89,6 +89,17 @@
 			m.w.Fall(play.Ills{})
 		}
 	}},
+	{"callers leave", none, func(a act) {
+		part := 0.2 + 0.5*a.Float64()
+		a.say("%.0f in 100 callers leave early", 100*part)
+		for _, m := range a.all() {
+			m.c.Quits(part)
+		}
+		Wait(a.ms(3000, 6000))
+		for _, m := range a.all() {
+			m.c.Quits(0.02)
+		}
+	}},
 	{"node kill", none, func(a act) {
 		if m := a.take(nil); m != nil {
 			a.say("node of %s killed", m.name)
--- a/internal/sim/sight_test.go
+++ b/internal/sim/sight_test.go
@@ -28,7 +28,7 @@
 		quit := 0.0
 		s.day(9*time.Second, func() {
 			for _, m := range s.machines {
-				m.c.Quit = 0.5
+				m.c.Quits(0.5)
 			}
 			Wait(2 * time.Second)
 			m := s.machines[0]
--- a/internal/sim/withdraw_test.go
+++ b/internal/sim/withdraw_test.go
@@ -44,7 +44,7 @@
 		s := newSite(t, desks(1, 0.3), 1)
 		bad := s.day(10*time.Second, func() {
 			for _, m := range s.machines {
-				m.c.Quit = 0.5
+				m.c.Quits(0.5)
 			}
 		})
 		if len(bad) > 0 {
--- /dev/null
+++ b/internal/sim/withdrawals_test.go
@@ -0,0 +1,96 @@
+package sim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/stand/witness"
+)
+
+var withdrawalSeeds = flag.Int("withdrawals", 1, "how many seeds each trouble is played with in TestWithdrawals")
+
+// TestWithdrawals plays each trouble against all that says "no more": workers that
+// leave in every manner before, during and after it, and callers that leave all
+// along, while a second trouble overlaps the first. No rule may break; what reaches
+// a worker that left, and what goes on for a caller that left, is asked to be none.
+// By command: go test ./internal/sim -run 'TestWithdrawals$' -withdrawals 10 -seed 1
+func TestWithdrawals(t *testing.T) {
+	heavy(t)
+	all := append(append(append([]trouble(nil), troubles...), coreTroubles...), docTroubles...)
+	for i, x := range all {
+		for n := range *withdrawalSeeds {
+			seed := *daySeed + uint64(100*i+n)
+			t.Run(fmt.Sprintf("%s, seed %d", x.name, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { playWithdrawals(t, x, all, seed) })
+			})
+		}
+	}
+}
+
+// leads are when workers leave, against the begin of the trouble.
+var leads = []time.Duration{0, 1200 * time.Millisecond, 3500 * time.Millisecond}
+
+func playWithdrawals(t *testing.T, first trouble, all []trouble, seed uint64) {
+	d := reader(seed, 0.12)
+	if seed%2 == 1 {
+		d = desks(seed, 0.12)
+	}
+	s := newSite(t, d, seed)
+	rnd := rand.New(rand.NewPCG(seed, 71))
+	second := all[rnd.IntN(len(all))]
+	for second.core != none && first.core != none {
+		second = all[rnd.IntN(len(all))]
+	}
+	bad := s.day(20*time.Second, func() {
+		for _, m := range s.all() {
+			m.c.Quits(0.3)
+		}
+		begin := time.Now()
+		for _, lead := range leads {
+			s.g.Go("leave", func(context.Context) { s.leaveAt(begin.Add(lead)) })
+		}
+		s.g.Go("first", func(context.Context) { s.troubleAt(begin.Add(time.Second), first, seed) })
+		s.g.Go("second", func(context.Context) { s.troubleAt(begin.Add(2*time.Second), second, seed+1) })
+	})
+	if len(bad) > 0 {
+		t.Errorf("broken by %s with %s: %v\n%s", first.name, second.name, bad, s.said)
+	}
+	risk := s.wit.Risk()
+	t.Logf("%s with %s had to lose: %d at leaving workers, %d for callers that left", first.name, second.name, risk[witness.Drain], risk[witness.Gone])
+	if risk[witness.Gone] == 0 {
+		t.Error("no caller left while a run of its was under way: the test shows nothing")
+	}
+}
+
+// leaveAt has a worker leave at a time, in a manner of its own, and another take
+// its place.
+func (s *site) leaveAt(at time.Time) {
+	a := act{s, rand.New(rand.NewPCG(uint64(at.UnixNano()), 72)), &[]*Core{}}
+	Wait(time.Until(at))
+	m := a.take(a.enough)
+	if m == nil {
+		return
+	}
+	defer a.free(m)
+	a.say("worker of %s leaves", m.name)
+	m.w.Leave(context.Background())
+	a.startWorker(m)
+}
+
+// troubleAt plays a trouble at a time, with a source of chance of its own.
+func (s *site) troubleAt(at time.Time, x trouble, seed uint64) {
+	a := act{s, rand.New(rand.NewPCG(seed, 73)), &[]*Core{}}
+	Wait(time.Until(at))
+	x.do(a)
+	s.smu.Lock()
+	defer s.smu.Unlock()
+	for _, c := range *a.core {
+		delete(s.held, c)
+	}
+}
--- a/internal/stand/play/client.go
+++ b/internal/stand/play/client.go
@@ -21,9 +21,9 @@
 	Machine string // its name for the witness
 	Wit     *witness.Witness
 	G       *task.Group
-	Keep    float64 // part of the requests on kept connections
-	Hasty   float64 // part that try again at once and more often, whatever they are told
-	Quit    float64 // part that go away early
+	Keep    float64      // part of the requests on kept connections
+	Hasty   float64      // part that try again at once and more often, whatever they are told
+	quit    atomic.Int64 // of a thousand, how many go away early
 	Out     atomic.Bool
 	gone    atomic.Bool // its machine is
 	dice    *dice
@@ -37,9 +37,17 @@
 
 // NewClient makes the callers of a node.
 func NewClient(e env.Env, say tongue.Tongue, front, machine, name string, wit *witness.Witness, g *task.Group, seed uint64) *Client {
-	return &Client{E: e, Say: say, Front: front, Machine: machine, Wit: wit, G: g, Keep: 0.6, Hasty: 0.1, Quit: 0.02, dice: newDice(seed), name: name}
+	c := &Client{E: e, Say: say, Front: front, Machine: machine, Wit: wit, G: g, Keep: 0.6, Hasty: 0.1, dice: newDice(seed), name: name}
+	c.Quits(usualQuits)
+	return c
 }
 
+// usualQuits is the part of the requests whose callers go away early.
+const usualQuits = 0.02
+
+// Quits sets which part of the requests' callers go away before their answers.
+func (c *Client) Quits(part float64) { c.quit.Store(int64(part * 1000)) }
+
 // Load sends a line's requests at a rate until the context ends. While Out is
 // set the clients get no new work.
 func (c *Client) Load(ctx context.Context, l *Line, rate func() float64) {
@@ -63,6 +71,16 @@
 	}
 }
 
+// stays is how long one that goes away early waits: every second one less than
+// half of its aim, when its request is likely at work, the others a good part of
+// their time.
+func (c *Client) stays(l *Line, left time.Duration) time.Duration {
+	if l.Aim > 0 && c.dice.below(2) == 0 {
+		return time.Millisecond + time.Duration(c.dice.word()%uint64(l.Aim/2))
+	}
+	return left/10 + time.Duration(c.dice.word()%uint64(left/2))
+}
+
 // Under tells how many jobs it has under way.
 func (c *Client) Under() int { return int(c.under.Load()) }
 
@@ -76,9 +94,9 @@
 	if hasty {
 		further += 2
 	}
-	if by == nil && c.dice.share() < c.Quit {
+	if by == nil && c.dice.share() < float64(c.quit.Load())/1000 {
 		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, left/10+time.Duration(c.dice.word()%uint64(left/2)))
+		ctx, stop = context.WithTimeout(ctx, c.stays(l, left))
 		defer stop()
 	}
 	for n := 0; n <= further && ctx.Err() == nil && !c.gone.Load(); n++ {
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -129,6 +129,9 @@
 	delete(l.wait, id)
 	certain := waits && l.recall(t)
 	l.mu.Unlock()
+	if waits && !certain {
+		l.abandons(ctx, kind, id)
+	}
 	if !waits {
 		// The receipt came in this very moment.
 		return (<-t.back).done(kind)
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -25,6 +25,7 @@
 
 	mu    sync.Mutex
 	wait  map[uint64]*turn
+	under map[uint64]context.CancelFunc // the fellow's calls that end when it waits no more
 	hush  hush
 	q     queue
 	slack sync.Cond    // for receipts that wait for room
@@ -111,6 +112,7 @@
 		l.slack.Broadcast()
 		l.mu.Unlock()
 		close(l.done)
+		l.abandonAll()
 		_ = l.conn.Close()
 		l.n.drop(l)
 	})
@@ -152,6 +154,9 @@
 		case f.kind == haste:
 			l.haste.Store(true)
 			f.free()
+		case f.kind == abandon:
+			l.abandoned(f.id)
+			f.free()
 		case f.kind == alive:
 			l.here(f)
 			f.free()
--- a/internal/wire/road.go
+++ b/internal/wire/road.go
@@ -195,12 +195,13 @@
 	}
 	t := far.takers[kind]
 	if t == nil {
-		t = &taker{kind, func(_ context.Context, _ Hello, f *frame) (*room, error) {
+		t = &taker{kind: kind, run: func(_ context.Context, _ Hello, f *frame) (*room, error) {
 			f.free()
 			return nil, fault.New(fault.Refused, "kind %q is not spoken here", kind)
 		}}
 	}
-	under := far.g.Context()
+	under, stop := far.heeds(ctx, t)
+	defer stop()
 	if i.left > 0 {
 		var end context.CancelFunc
 		under, end = context.WithTimeout(under, time.Duration(i.left)*time.Millisecond)
--- a/internal/wire/take.go
+++ b/internal/wire/take.go
@@ -13,6 +13,7 @@
 // is unpacked.
 type taker struct {
 	kind string
+	ends bool // with the asker's waiting
 	run  func(ctx context.Context, from Hello, f *frame) (*room, error)
 }
 
@@ -22,7 +23,7 @@
 	if n.takers[kind] != nil {
 		panic(fmt.Sprintf("wire: kind %q is registered twice", kind))
 	}
-	n.takers[kind] = &taker{kind, func(ctx context.Context, from Hello, got *frame) (*room, error) {
+	n.takers[kind] = &taker{kind: kind, run: func(ctx context.Context, from Hello, got *frame) (*room, error) {
 		var in I
 		err := Unpack(got.body, &in)
 		got.free()
@@ -58,8 +59,15 @@
 	}
 	n.under.Add(1)
 	end := f.end
-	ok := n.pool.Do(func(ctx context.Context) {
+	// Noted before anything else is read from the link.
+	ctx, over := n.g.Context(), func() {}
+	if t.ends && h.id != 0 {
+		ctx, over = l.heeds(h.id)
+	}
+	ok := n.pool.Do(func(context.Context) {
 		defer n.under.Add(-1)
+		defer over()
+		ctx := ctx
 		if h.left > 0 {
 			var stop context.CancelFunc
 			ctx, stop = context.WithDeadline(ctx, n.born.Add(end))
@@ -80,6 +88,7 @@
 	// A full pool refuses for certain: the taker never saw the call.
 	if !ok {
 		f.free()
+		over()
 		n.under.Add(-1)
 		l.receipt(h, t.kind, nil, fault.New(fault.Refused, "full"), 0)
 	}
