A soak of real processes under overlapping signals, judged by the witness

Members run the product's programs from settings to exit code; processes are those of a package that fleetrun uses as well.

--- a/internal/fleetrun/machines.go
+++ b/internal/fleetrun/machines.go
@@ -14,11 +14,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
+	"puffincrank/internal/fleetrun/process"
 	"puffincrank/internal/sim"
 	"puffincrank/internal/stand"
 	"puffincrank/internal/task"
@@ -26,15 +26,11 @@
 
 // Proc is one process of the product.
 type Proc struct {
-	Program, Name, Host, Area string
-	props                     string
-	run                       *Run
-	mu                        sync.Mutex
-	cmd                       *exec.Cmd
-	over                      chan struct{}
-	cpu                       time.Duration
-	code                      int
-	newer                     bool // runs this version though the run began with an earlier one
+	process.Process
+	Program, Host, Area string
+	props               string
+	run                 *Run
+	newer               bool // runs this version though the run began with an earlier one
 }
 
 // Node is a machine with a worker.
@@ -123,73 +119,22 @@
 		return nil, err
 	}
 	file := filepath.Join(r.Dir, name+".json")
-	return &Proc{Program: program, Name: name, Host: host, Area: area, props: file, run: r}, os.WriteFile(file, raw, 0o644)
+	p := &Proc{Program: program, Host: host, Area: area, props: file, run: r}
+	p.Name, p.Log, p.Command = name, filepath.Join(r.Dir, name+".log"), p.command
+	return p, os.WriteFile(file, raw, 0o644)
 }
 
-// Start starts the process; its log goes to a file of its own.
-func (p *Proc) Start() error {
-	log, err := os.OpenFile(filepath.Join(p.run.Dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
+// command is that of its program, in the version that it is to run.
+func (p *Proc) command() *exec.Cmd {
 	bin := p.run.Bin
 	if p.run.Old != "" && !p.newer {
 		bin = p.run.Old
 	}
-	cmd := exec.Command(filepath.Join(bin, p.Program), "--props", p.props)
-	cmd.Stderr, cmd.Stdout = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		_ = log.Close()
-		return err
-	}
-	over := make(chan struct{})
-	p.mu.Lock()
-	p.cmd, p.over = cmd, over
-	p.mu.Unlock()
-	p.run.g.Go("wait-process", func(context.Context) {
-		_ = cmd.Wait()
-		_ = log.Close()
-		p.mu.Lock()
-		p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
-		p.code = cmd.ProcessState.ExitCode()
-		p.mu.Unlock()
-		close(over)
-	})
-	return nil
-}
-
-// Signal sends a signal to the process that this run started.
-func (p *Proc) Signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil && p.cmd.Process != nil {
-		_ = p.cmd.Process.Signal(s)
-	}
+	return exec.Command(filepath.Join(bin, p.Program), "--props", p.props)
 }
 
-// End signals and waits; the result is the exit code and how long it took.
-func (p *Proc) End(s syscall.Signal, bound time.Duration) (int, time.Duration) {
-	from := time.Now()
-	p.mu.Lock()
-	over := p.over
-	p.mu.Unlock()
-	if over == nil {
-		return 0, 0
-	}
-	p.Signal(s)
-	t := time.NewTimer(bound)
-	defer t.Stop()
-	select {
-	case <-over:
-	case <-t.C:
-		p.Signal(syscall.SIGKILL)
-		<-over
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.code, time.Since(from)
-}
+// Start starts the process; its log goes to a file of its own.
+func (p *Proc) Start() error { return p.Process.Start(p.run.g) }
 
 // StartWorker starts a fresh worker beside a node.
 func (r *Run) StartWorker(n *Node) error {
--- a/internal/fleetrun/report.go
+++ b/internal/fleetrun/report.go
@@ -105,11 +105,11 @@
 	p("room used, middle time × runs over slots × time: %.3f", room/(float64(r.S.Slots*len(r.Nodes))*took.Seconds()))
 	cpu := map[string]time.Duration{}
 	for _, x := range r.Nodes {
-		cpu["proxy"] += x.Proxy.cpu
+		cpu["proxy"] += x.Proxy.CPU()
 	}
 	for _, c := range r.Cores {
-		cpu["registry"] += c.Registry.cpu
-		cpu["store"] += c.Store.cpu
+		cpu["registry"] += c.Registry.CPU()
+		cpu["store"] += c.Store.CPU()
 	}
 	for _, k := range []string{"proxy", "registry", "store"} {
 		p("processor time of all %s processes: %.2f s (%.2f ms for each job done)", k, cpu[k].Seconds(), ms(cpu[k])/float64(max(n["done"], 1)))
--- /dev/null
+++ b/internal/fleetrun/soak/member.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+
+	"puffincrank/internal/env"
+	"puffincrank/internal/props"
+	"puffincrank/internal/proxy"
+	"puffincrank/internal/registry"
+	"puffincrank/internal/run"
+	"puffincrank/internal/stand/play"
+	"puffincrank/internal/store"
+)
+
+// settingsVariable names the settings file of a member.
+const settingsVariable = "SOAK_SETTINGS"
+
+// Member runs this process as one of the mesh: the product's own program, from its
+// settings file to its exit code, in the tongue of the stand-ins. False means that
+// there is no such program.
+func Member(program string) (code int, ok bool) {
+	build := map[string]func(props.Props, env.Env) (run.Program, error){
+		"proxy":    func(p props.Props, e env.Env) (run.Program, error) { return proxy.New(p, e), nil },
+		"registry": func(p props.Props, e env.Env) (run.Program, error) { return registry.New(p, e), nil },
+		"store":    func(p props.Props, e env.Env) (run.Program, error) { return store.New(p, e) },
+	}[program]
+	if build == nil {
+		return 0, false
+	}
+	site := run.Site{Settings: readSettings, File: func() string { return os.Getenv(settingsVariable) }, Tongue: play.Plain}
+	return run.Main(program, []string{"--site"}, site, build), true
+}
+
+func readSettings(string) (map[string]any, error) {
+	raw, err := os.ReadFile(os.Getenv(settingsVariable))
+	if err != nil {
+		return nil, err
+	}
+	var in map[string]any
+	return in, json.Unmarshal(raw, &in)
+}
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"strings"
 	"time"
 
@@ -124,6 +125,7 @@
 	Room     int64                           `msgpack:"room,omitempty" json:"bytes_under_way_bound"`
 	Slim     int64                           `msgpack:"slim,omitempty" json:"refused_for_thin_links"`
 	Quit     int64                           `msgpack:"quit,omitempty" json:"callers_left"`
+	Routines int                             `msgpack:"routines,omitempty" json:"goroutines"`
 }
 
 // WorkerStatus is one worker as its owner sees it.
@@ -156,6 +158,7 @@
 	s.Count = x.count
 	x.mu.Unlock()
 	s.Repeats, s.Slim = x.again.Given(), x.slim.Load()
+	s.Routines = runtime.NumGoroutine()
 	s.Callers, s.Quit = x.stay.Open(), x.quit.Load()
 	s.Bytes, s.Peak, s.Room = x.load.at()
 	s.Classes, s.Fitness = x.uses(), x.pick.Fits()
--- a/internal/stand/witness/answers.go
+++ b/internal/stand/witness/answers.go
@@ -181,7 +181,7 @@
 }
 
 // Served counts the jobs of a kind, or of all, that were owed and that were
-// served, of those begun in a time.
+// served, of those begun in a time. Nothing is owed where the client left early.
 func (w *Witness) Served(kind string, from, to time.Time) (served, owed int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -194,14 +194,15 @@
 		if t.Probe || t.By != nil || !of(t) {
 			continue
 		}
-		if _, ok := done[t.Job]; !ok {
-			done[t.Job] = false
-			owed++
+		good := t.Got.Status/100 == 2 && t.Got.Whole
+		if !t.Early || good {
+			done[t.Job] = done[t.Job] || good
 		}
-		if t.Got.Status/100 == 2 && t.Got.Whole && !done[t.Job] {
-			done[t.Job] = true
+	}
+	for _, good := range done {
+		if good {
 			served++
 		}
 	}
-	return served, owed
+	return served, len(done)
 }
--- a/internal/stand/witness/gone_test.go
+++ b/internal/stand/witness/gone_test.go
@@ -1,6 +1,27 @@
 package witness
 
-import "time"
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestOwed: nothing is owed to a client that leaves early, unless it was served.
+func TestOwed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDay()
+		d.whole()
+		d.own(d.ask(), 503)
+		early := d.ask()
+		early.Early = true
+		d.Ended(early, Answer{GaveUp: true})
+		soon, _ := d.whole()
+		soon.Early = true
+		if served, owed := d.Served("", time.Time{}, time.Now()); served != 2 || owed != 3 {
+			t.Errorf("%d of %d served, want 2 of 3", served, owed)
+		}
+	})
+}
 
 // gone breaks what is promised of callers that leave: what reaches a worker late for a caller that left, and what may be
 // repeated and runs on for one, is blamed; what ends in time is not.
--- a/internal/stand/witness/witness.go
+++ b/internal/stand/witness/witness.go
@@ -82,6 +82,7 @@
 	Repeat            bool          // may run more than once
 	Left              time.Duration // what its client waits
 	Told              time.Duration // what of it the client told when it wrote; 0: all
+	Early             bool          // its client leaves before its time: owed nothing unless served
 	Probe             bool          // asks which document is in force; owed nothing
 	By                *Visit        // the run that made it, of a nested one
 	Work              time.Duration // what it takes a worker
--- a/test.sh
+++ b/test.sh
@@ -25,3 +25,4 @@
 run -count=1 -timeout 10m ./internal/sim
 # Real processes want the machine for themselves.
 PUFFIN_FLEET=1 run -count=1 -timeout 5m -run RealFleet ./internal/fleetrun
+PUFFIN_FLEET=1 run -count=1 -timeout 5m -run Soak ./internal/fleetrun/soak
