--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -137,7 +137,7 @@
 	r.e.Log.Emit(event.Started, "program", "registry", "outer", r.P.Outer)
 	r.g.Go("poll", r.poll)
 	r.g.Every("share", r.P.Beat(), r.share)
-	r.g.Every("keep", r.P.Beat(), r.saveWorkers)
+	r.g.Every("keep", r.P.Beat(), func(context.Context) { r.saveWorkers() })
 	r.g.Go("pulse", func(ctx context.Context) { r.pulse.Run(ctx, r.e.Pause) })
 	for _, d := range r.duties {
 		r.g.Go("duty-"+d.name, d.run)
--- a/internal/registry/savedworkers.go
+++ b/internal/registry/savedworkers.go
@@ -1,8 +1,6 @@
 package registry
 
 import (
-	"context"
-
 	"github.com/vmihailenco/msgpack/v5"
 
 	"puffincrank/internal/disk"
@@ -22,22 +20,28 @@
 }
 
 // saveWorkers writes the live entries where they have changed. It is best effort: a
-// disk in trouble costs no more than what this file would have saved.
-func (r *Registry) saveWorkers(context.Context) {
+// disk in trouble costs no more than what this file would have saved. The result
+// tells whether what stands now is there, or there is no disk.
+func (r *Registry) saveWorkers() bool {
 	r.saving.Lock()
 	defer r.saving.Unlock()
 	now := ormap.Total(r.rep.Map().Digests())
-	if r.e.FS == nil || !r.life.Is("ready") || now == r.keptAs {
-		return
+	if r.e.FS == nil || now == r.keptAs {
+		return true
+	}
+	if !r.life.Is("ready") {
+		return false
 	}
 	live := r.rep.Map().Live(nil)
 	if len(live) == 0 {
-		return
+		return true
 	}
 	raw, err := msgpack.Marshal(savedWorkers{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live, Dead: r.rep.Map().Departures("")}.Pack()})
-	if err == nil && disk.Save(r.e.FS, workersFile, raw) == nil {
-		r.keptAs = now
+	if err != nil || disk.Save(r.e.FS, workersFile, raw) != nil {
+		return false
 	}
+	r.keptAs = now
+	return true
 }
 
 // loadWorkers adds what the file holds to a replica that has nothing of it. Where a
--- a/internal/sim/withdraw_test.go
+++ b/internal/sim/withdraw_test.go
@@ -124,35 +124,50 @@
 	}
 }
 
-// TestLeaveUnheard: a leave that no control node can note is in force at once and
-// isn't acknowledged; it is as soon as one can.
+// TestLeaveUnheard: a leave that no control node can note, since none is reached or
+// no disk takes it, is in force at once and isn't acknowledged; it is as soon as one
+// can.
 func TestLeaveUnheard(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, reader(1, 0.12), 1)
-		a := act{s, rand.New(rand.NewPCG(1, 2)), &[]*Core{}}
-		var drains atomic.Bool
-		s.Log = func(e event.Entry) {
-			if e.Name == "worker-state" && strings.Contains(e.Say, "to=draining") {
-				drains.Store(true)
-			}
-		}
-		s.day(12*time.Second, func() {
-			m := s.machines[0]
-			a.cutOff(m, true)
-			s.g.Go("leave", func(context.Context) { m.w.LeaveBy(context.Background(), play.Manner{More: 4 * time.Second}) })
-			Wait(1500 * time.Millisecond)
-			if m.w.Acknowledged() {
-				t.Error("acknowledged, though nobody else can know of it")
-			}
-			if !drains.Load() {
-				t.Error("not in force")
-			}
-			a.cutOff(m, false)
-			Wait(2 * time.Second)
-			if !m.w.Acknowledged() {
-				t.Error("still not acknowledged")
+	for name, trouble := range map[string]func(a act, m *machine, on bool){
+		"cut off": func(a act, m *machine, on bool) { a.cutOff(m, on) },
+		"full disks": func(a act, _ *machine, on bool) {
+			for _, c := range a.cores() {
+				c.Disk.Room(map[bool]int{true: 0, false: -1}[on])
 			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playUnheard(t, trouble) })
 		})
+	}
+}
+
+func playUnheard(t *testing.T, trouble func(a act, m *machine, on bool)) {
+	s := newSite(t, reader(1, 0.12), 1)
+	a := act{s, rand.New(rand.NewPCG(1, 2)), &[]*Core{}}
+	var drains atomic.Bool
+	s.Log = func(e event.Entry) {
+		if e.Name == "worker-state" && strings.Contains(e.Say, "to=draining") {
+			drains.Store(true)
+		}
+	}
+	s.day(12*time.Second, func() {
+		m := s.machines[0]
+		trouble(a, m, true)
+		s.g.Go("leave", func(context.Context) { m.w.LeaveBy(context.Background(), play.Manner{More: 4 * time.Second}) })
+		Wait(1500 * time.Millisecond)
+		if m.w.Acknowledged() {
+			t.Error("acknowledged, though nobody else can know of it")
+		}
+		if !drains.Load() {
+			t.Error("not in force")
+		}
+		trouble(a, m, false)
+		Wait(2 * time.Second)
+		if !m.w.Acknowledged() {
+			t.Error("still not acknowledged")
+		}
 	})
 }
