Reverted: an operator's drain is taken up by the node's next start

The page of commands says that such a drain ends when the proxy restarts, and a polite stop removes the entry that would carry it, so it would have held over a crash and not over a roll. Left as documented.

--- a/internal/proxy/fit.go
+++ b/internal/proxy/fit.go
@@ -70,9 +70,6 @@
 		// A later start of this node knows by it which calls are older.
 		meta["call"] = strconv.FormatInt(g.seq, 10)
 	}
-	if x.held() {
-		meta["held"] = "1"
-	}
 	doubts := g.own.Doubts(x.pick.Failing(g.service))
 	if doubts > 0 {
 		meta["doubts"] = strconv.Itoa(doubts)
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -194,19 +194,14 @@
 	return x.hold
 }
 
-// onDrain drains the workers of this node until it is undone, over restarts of it
-// as well; the next beat of a worker brings it back.
+// onDrain drains the workers of this node until it is undone; the next beat
+// of a worker brings it back.
 func (x *Proxy) onDrain(_ context.Context, _ wire.Hello, in DrainAsk) (Status, error) {
 	x.mu.Lock()
 	x.hold = in.On
 	x.mu.Unlock()
 	if in.On {
 		x.leaveGates()
-		return x.status(), nil
-	}
-	// A later start must not take up what was undone.
-	for _, g := range x.allGates() {
-		x.enter(g)
 	}
 	return x.status(), nil
 }
--- a/internal/proxy/workercall.go
+++ b/internal/proxy/workercall.go
@@ -78,21 +78,6 @@
 	x.rep.Depart(worker, why)
 }
 
-// resumeHold takes up an operator's word to drain this node, as an earlier start of
-// it told the others in its worker's entry.
-func (x *Proxy) resumeHold() {
-	held := x.rep.Map().Live(func(e ormap.Entry) bool {
-		return e.Owner == x.P.Node && e.Dot.Node != x.rep.Dot() && e.Meta["held"] != ""
-	})
-	if len(held) == 0 {
-		return
-	}
-	x.mu.Lock()
-	x.hold = true
-	x.mu.Unlock()
-	x.leaveGates()
-}
-
 // forgetCalls drops what is remembered of workers that have not called for longer
 // than tombstones are kept.
 func (x *Proxy) forgetCalls() {
@@ -126,7 +111,6 @@
 	for worker := range x.departures {
 		x.rep.Depart(worker, signedOff)
 	}
-	x.resumeHold()
 	p := x.set()
 	if p.Worker == "" || x.say.Asks {
 		return
