--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -119,7 +119,7 @@
 
 // evictStranger is called when another identity answers at a worker's address.
 func (x *Proxy) evictStranger(g *gate) {
-	if g.state.Fire("miss") {
+	if x.moves(g, "miss", "another answers at its address, or nobody") {
 		g.room.Close()
 		x.remove(g, "down")
 	}
--- a/internal/proxy/trail.go
+++ b/internal/proxy/trail.go
@@ -40,9 +40,10 @@
 
 // trail keeps the newest steps of a process.
 type trail struct {
-	mu   sync.Mutex
-	seq  uint64
-	ring [trailLength]Step
+	mu     sync.Mutex
+	seq    uint64
+	oldest int    // in the ring, once that is full
+	ring   []Step // grows to its length, then the oldest is overwritten
 }
 
 // next counts a change of a worker's state in the order of the steps.
@@ -59,7 +60,12 @@
 	defer t.mu.Unlock()
 	t.seq++
 	s.Seq, s.At = t.seq, time.Now()
-	t.ring[t.seq%trailLength] = s
+	if len(t.ring) < trailLength {
+		t.ring = append(t.ring, s)
+		return
+	}
+	t.ring[t.oldest] = s
+	t.oldest = (t.oldest + 1) % trailLength
 }
 
 // of gives the kept steps of a request or a worker, all for "", oldest first.
@@ -67,9 +73,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := []Step{}
-	for i := range uint64(trailLength) {
-		s := t.ring[(t.seq+1+i)%trailLength]
-		if s.Seq > 0 && (name == "" || s.Request == name || s.Worker == name) {
+	for i := range t.ring {
+		s := t.ring[(t.oldest+i)%len(t.ring)]
+		if name == "" || s.Request == name || s.Worker == name {
 			out = append(out, s)
 		}
 	}
