The order to end isn't lost behind orders to read the settings, nor while starting

Signals were caught only after the settings had been read, and all of them had one place to wait in: an order to end that came while one to read the settings waited was dropped, and the process went on until it was killed. Ruled out: a crash (exit by signal, nothing in its log).

--- a/internal/fleetrun/process/process.go
+++ b/internal/fleetrun/process/process.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,7 +26,8 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	over  chan struct{}
-	asked bool // its end was
+	asked bool  // its end was
+	from  int64 // where the log of its newest start begins
 	cpu   time.Duration
 	code  int
 }
@@ -36,6 +38,11 @@
 	if err != nil {
 		return err
 	}
+	info, err := log.Stat()
+	if err != nil {
+		_ = log.Close()
+		return err
+	}
 	cmd := p.Command()
 	cmd.Stderr, cmd.Stdout = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -45,7 +52,7 @@
 	}
 	over := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.over, p.asked = cmd, over, false
+	p.cmd, p.over, p.asked, p.from = cmd, over, false, info.Size()
 	p.mu.Unlock()
 	g.Go("wait-process", func(context.Context) {
 		_ = cmd.Wait()
@@ -104,6 +111,15 @@
 	return p.code, time.Since(from)
 }
 
+// Logged tells whether its newest start has logged a text.
+func (p *Process) Logged(text string) bool {
+	p.mu.Lock()
+	from := p.from
+	p.mu.Unlock()
+	raw, err := os.ReadFile(p.Log)
+	return err == nil && int64(len(raw)) > from && strings.Contains(string(raw[from:]), text)
+}
+
 // ID is the number of the process that was started last, 0 if none was.
 func (p *Process) ID() int {
 	p.mu.Lock()
--- a/internal/fleetrun/soak/run.go
+++ b/internal/fleetrun/soak/run.go
@@ -6,10 +6,8 @@
 	"net/http"
 	"os"
 	"sort"
-	"syscall"
 	"time"
 
-	"puffincrank/internal/fleetrun/process"
 	"puffincrank/internal/stand/play"
 	"puffincrank/internal/stand/witness"
 )
@@ -158,56 +156,6 @@
 	pause(ways.Idle + time.Second)
 }
 
-// down stops everything in order and checks that it ends so.
-func (f *fleet) down() {
-	var nodes, others []*process.Process
-	for _, m := range f.machines {
-		nodes = append(nodes, m.node)
-	}
-	for _, c := range f.cores {
-		others = append(others, c.registry, c.store)
-	}
-	f.stopAll(nodes)
-	for _, m := range f.machines {
-		m.at().Kill()
-	}
-	f.stopAll(others)
-}
-
-func (f *fleet) stopAll(all []*process.Process) {
-	over := make(chan struct{}, len(all))
-	for _, p := range all {
-		f.g.Go("stop", func(context.Context) { f.stop(p); over <- struct{}{} })
-	}
-	for range all {
-		<-over
-	}
-}
-
-// stop ends one process in order.
-func (f *fleet) stop(p *process.Process) {
-	code, took := p.End(syscall.SIGTERM, f.wit.B.Grace+time.Second)
-	if code != 0 || took > f.wit.B.Grace {
-		f.blame("%s was told to end and ended with %d after %v", p.Name, code, took.Round(time.Millisecond))
-	}
-}
-
-// end kills what is left.
-func (f *fleet) end() {
-	for _, m := range f.machines {
-		m.node.End(syscall.SIGKILL, time.Second)
-		if w := m.at(); w != nil {
-			w.Kill()
-		}
-	}
-	for _, c := range f.cores {
-		c.registry.End(syscall.SIGKILL, time.Second)
-		c.store.End(syscall.SIGKILL, time.Second)
-	}
-	f.g.Cancel()
-	f.g.Stop()
-}
-
 // report prints what was seen.
 func (f *fleet) report(before, after holdings) bool {
 	p := func(form string, args ...any) { fmt.Fprintf(f.o.Out, form+"\n", args...) }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -57,6 +57,12 @@
 		fmt.Println(version.Line(name))
 		return 0
 	}
+	// Signals are caught before anything else, so that a stop right after the start
+	// is polite too, and those of each kind by themselves: the order to end must not
+	// be lost because an order to read the settings waits to be taken.
+	ends, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(again, syscall.SIGHUP)
 	w := &watch{name: name, load: func() (props.Props, []settings.Fault, error) { return load(name, args, site) }, file: props.File(name, args)}
 	if len(args) == 1 && args[0] == "--site" && site.File != nil {
 		w.file = site.File()
@@ -91,10 +97,6 @@
 		}
 		e.FS = dir
 	}
-	// The signals are caught before the ports open: a stop right after the
-	// start is polite too.
-	sig := make(chan os.Signal, 1)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	prog, err := build(p, e)
 	if err == nil {
 		err = prog.Start()
@@ -108,12 +110,13 @@
 		w.prog = fixed{}
 	}
 	w.mu.Unlock()
-	for s := range sig {
-		if s != syscall.SIGHUP {
-			break
+	for {
+		select {
+		case <-ends:
+			prog.Stop()
+			return 0
+		case <-again:
+			w.read()
 		}
-		w.read()
 	}
-	prog.Stop()
-	return 0
 }
