--- a/internal/proxy/fit.go
+++ b/internal/proxy/fit.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"puffincrank/internal/class"
 	"puffincrank/internal/event"
@@ -45,15 +46,17 @@
 }
 
 // doubt tells all fronts when what is to be thought of the worker changed much:
-// with many fronts each sees too few of its jobs to find out in time.
+// with many fronts each sees too few of its jobs to find out in time. How often it
+// does so is bounded: where all are overloaded, what they tell of each other is load.
 func (x *Proxy) doubt(g *gate) {
 	now := g.own.Doubts(x.pick.Failing(g.service))
 	g.mu.Lock()
 	same := g.told == now
 	g.mu.Unlock()
-	if !same && g.state.Is("up") {
-		x.enter(g)
+	if same || !g.state.Is("up") || !x.fitnessNews.Take(time.Now()) {
+		return
 	}
+	x.enter(g)
 }
 
 // enter puts the gate's entry into the registry with a fresh dot, as the gate
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,43 +31,44 @@
 
 // Proxy is one process. Lock order: mu before a gate's own lock.
 type Proxy struct {
-	P         props.Props
-	e         env.Env
-	g         *task.Group
-	n         *wire.Node
-	self      member.Fellow
-	life      *state.Machine
-	well      chan struct{} // closed when it became ready
-	touch     *touch.Touch
-	rep       *replica.Replica
-	pick      *nominate.Nominator
-	again     *repeats.Budget
-	kin       *kin
-	calls     *calls
-	knows     *recall
-	load      *load
-	trail     trail
-	gone      *event.Limiter // of callers that left
-	runsEnded *event.Limiter // of runs ended for them
-	way       *way
-	pulse     *pulse.Pulse
-	say       tongue.Tongue
-	door      *http.Server           // where callers come in
-	stay      outer.Stay             // how long callers' connections may
-	told      atomic.Pointer[string] // what callers are told of that
-	rules     atomic.Pointer[rules.Rules]
-	reset     atomic.Pointer[props.Props] // settings read again since the start
-	busy      atomic.Int64                // jobs under way as a front
-	owned     atomic.Int64                // attempts under way as an owner
-	seq       atomic.Uint64
-	slim      atomic.Int64              // attempts refused for want of room on a link
-	quit      atomic.Int64              // callers that left before their answers
-	left      atomic.Bool               // this node's workers are being left for good
-	ends      atomic.Pointer[time.Time] // when nothing waits any more, once it was told to end
-	boot      string
-	born      time.Time
-	late      context.Context // over when a stop can wait for jobs no longer
-	over      context.CancelFunc
+	P           props.Props
+	e           env.Env
+	g           *task.Group
+	n           *wire.Node
+	self        member.Fellow
+	life        *state.Machine
+	well        chan struct{} // closed when it became ready
+	touch       *touch.Touch
+	rep         *replica.Replica
+	pick        *nominate.Nominator
+	again       *repeats.Budget
+	kin         *kin
+	calls       *calls
+	knows       *recall
+	load        *load
+	trail       trail
+	gone        *event.Limiter // of callers that left
+	runsEnded   *event.Limiter // of runs ended for them
+	fitnessNews *newsRate      // of what the mesh is told of its workers' fitness
+	way         *way
+	pulse       *pulse.Pulse
+	say         tongue.Tongue
+	door        *http.Server           // where callers come in
+	stay        outer.Stay             // how long callers' connections may
+	told        atomic.Pointer[string] // what callers are told of that
+	rules       atomic.Pointer[rules.Rules]
+	reset       atomic.Pointer[props.Props] // settings read again since the start
+	busy        atomic.Int64                // jobs under way as a front
+	owned       atomic.Int64                // attempts under way as an owner
+	seq         atomic.Uint64
+	slim        atomic.Int64              // attempts refused for want of room on a link
+	quit        atomic.Int64              // callers that left before their answers
+	left        atomic.Bool               // this node's workers are being left for good
+	ends        atomic.Pointer[time.Time] // when nothing waits any more, once it was told to end
+	boot        string
+	born        time.Time
+	late        context.Context // over when a stop can wait for jobs no longer
+	over        context.CancelFunc
 
 	calling    sync.Mutex // one call of a worker at a time; taken before mu
 	lastCalls  map[string]lastCall
@@ -106,6 +107,7 @@
 	x.gone, x.runsEnded = event.NewLimiter(p.Beat()), event.NewLimiter(p.Beat())
 	x.stay.Bound(callers(&p))
 	x.limits(nil)
+	x.fitnessNews = newNewsRate(time.Now())
 	x.pulse = pulse.New(p.Beat()/4, p.Gap(), func(gap time.Duration) { e.Log.Emit(event.Froze, "ms", gap.Milliseconds()) })
 	x.touch = newTouch(x)
 	x.way = newWay(e.Net, g, p.Change, int64(max(p.Body, p.Frame/2))+64<<10)
--- a/internal/proxy/touch.go
+++ b/internal/proxy/touch.go
@@ -34,7 +34,11 @@
 	h.x.pick.Here(func(node string) bool { return node == own || all.Has(node) })
 }
 
-func (h host) Fronts(n int) { h.x.again.Nodes(n) }
+// Fronts tells all that is shared among the nodes how many they are.
+func (h host) Fronts(n int) {
+	h.x.again.Nodes(n)
+	h.x.fitnessNews.Nodes(n)
+}
 
 // Filled takes up the worker that an earlier start of this node had registered,
 // and buries what that start left in the registry.
