--- a/internal/known/known.go
+++ b/internal/known/known.go
@@ -54,6 +54,18 @@
 	broke  bool              // ended in the middle: what comes after did not run
 	said   []string          // not by a test
 	cut    []string          // by tests that had not ended when the package did
+	last   []string          // the last lines, by whatever test
+}
+
+// lastLines is how many lines are told of the end of a process that went without a
+// failed test: its last words may be taken for those of a test that passed.
+const lastLines = 20
+
+func (p *pack) heard(line string) {
+	p.last = append(p.last, strings.TrimSuffix(line, "\n"))
+	if len(p.last) > lastLines {
+		p.last = p.last[1:]
+	}
 }
 
 // cutLines is how much of what unfinished tests said is told: a crash of the
@@ -95,6 +107,7 @@
 		key := e.Package + " " + e.Test
 		switch {
 		case e.Action == "output":
+			p.heard(e.Output)
 			p.broke = p.broke || strings.HasPrefix(e.Output, "panic: ") || strings.HasPrefix(e.Output, "fatal error: ")
 			if said[key] == nil {
 				said[key] = &strings.Builder{}
@@ -175,7 +188,7 @@
 		case p.broke || p.ended == "":
 			bad("%s\n%s\nNOT ENDED: %s", strings.Join(p.cut, "\n"), strings.Join(p.said, "\n"), name)
 		case p.ended == "fail" && len(tests) == 0:
-			bad("%s\n%s\n%s\nFAILED: %s", strings.Join(r.loose, "\n"), strings.Join(p.cut, "\n"), strings.Join(p.said, "\n"), name)
+			bad("%s\n%s\n%s\nthe last lines:\n%s\nFAILED: %s", strings.Join(r.loose, "\n"), strings.Join(p.cut, "\n"), strings.Join(p.said, "\n"), strings.Join(p.last, "\n"), name)
 		}
 	}
 	for _, red := range list {
--- a/internal/known/known_test.go
+++ b/internal/known/known_test.go
@@ -47,6 +47,7 @@
 		{"a listed one passes", line("pass", "TestA", "") + line("pass", "", ""), []Red{a}, true, "did not fail"},
 		{"a listed one panics", line("output", "TestA", `panic: oh\n`) + failed + end + exit, []Red{a}, false, "NOT ENDED"},
 		{"the process crashes in a test", line("output", "TestA", `SIGSEGV: segmentation violation\n`) + end + exit, nil, false, "SIGSEGV"},
+		{"the process crashes after a test", line("output", "TestA", `ThreadSanitizer: CHECK failed\n`) + line("pass", "TestA", "") + end + exit, nil, false, "ThreadSanitizer: CHECK failed"},
 		{"no end", failed, []Red{a}, false, "NOT ENDED"},
 		{"did not build", `{"ImportPath":"x","Action":"build-output","Output":"x.go:1: what\n"}` + "\n" + end + exit, []Red{a}, false, "x.go:1: what"},
 		{"nothing ran", "no go files\n" + exit, nil, false, "no go files"},
