A leave of the last worker is on the disk before it is acknowledged; doubts told once

With no live worker left nothing was written, yet the leave was acknowledged: after a loss of all processes the file had the worker as up. TestLastWorkerLeaves fails before (registered again), passes now. Calls for the same change of doubts that come at once tell it once and use one token; they told it as often as they came.

--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -14,7 +14,7 @@
 	{"worker-busy-believed", Busy, "internal/proxy/unseal.go", `	notRun := x.notRun(b)`, `	notRun := true`, "sim", "TestStorms"},
 	{"unknown-forgotten", Busy, "internal/proxy/weigh.go", "		j.unknown = &b\n", "		_ = b\n", "sim", "TestBadWorkers"},
 
-	{"fitness-always-told", Return, "internal/proxy/fit.go", " || !x.fitnessNews.Take(time.Now()) {", " || time.Now().IsZero() {", "proxy", "TestFlappingFitness"},
+	{"fitness-always-told", Return, "internal/proxy/fit.go", " && x.fitnessNews.Take(time.Now()) {", " && !time.Now().IsZero() {", "proxy", "TestFlappingFitness"},
 
 	{"seal-not-compared", Whole, "internal/proxy/unseal.go",
 		" || headOf(b, x.say.Mark) != seal.Of(v.in.Attempt, v.in.Worker, b.Status, b.Body) {", " || seal.Of(\"\", \"\", 0, nil) == \"\" {", "sim", "TestBadWorkers"},
--- a/internal/proxy/fit.go
+++ b/internal/proxy/fit.go
@@ -49,14 +49,23 @@
 // with many fronts each sees too few of its jobs to find out in time. How often it
 // does so is bounded: where all are overloaded, what they tell of each other is load.
 func (x *Proxy) doubt(g *gate) {
-	now := g.own.Doubts(x.pick.Failing(g.service))
-	g.mu.Lock()
-	same := g.told == now
-	g.mu.Unlock()
-	if same || !g.state.Is("up") || !x.fitnessNews.Take(time.Now()) {
+	if !x.changed(g) || !g.state.Is("up") {
 		return
 	}
-	x.enter(g)
+	g.tell.Lock()
+	defer g.tell.Unlock()
+	// Whoever had the lock before may have told it.
+	if x.changed(g) && x.fitnessNews.Take(time.Now()) {
+		x.register(g)
+	}
+}
+
+// changed tells whether the registry has other doubts about a worker than its owner.
+func (x *Proxy) changed(g *gate) bool {
+	now := g.own.Doubts(x.pick.Failing(g.service))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.told != now
 }
 
 // enter puts the gate's entry into the registry with a fresh dot, as the gate
@@ -64,6 +73,11 @@
 func (x *Proxy) enter(g *gate) {
 	g.tell.Lock()
 	defer g.tell.Unlock()
+	x.register(g)
+}
+
+// register does so; g.tell is held.
+func (x *Proxy) register(g *gate) {
 	say := g.state.Now()
 	if say != "up" && say != "draining" {
 		return
--- a/internal/registry/savedworkers.go
+++ b/internal/registry/savedworkers.go
@@ -32,11 +32,12 @@
 	if !r.life.Is("ready") {
 		return false
 	}
-	live := r.rep.Map().Live(nil)
-	if len(live) == 0 {
+	all := ormap.Delta{Adds: r.rep.Map().Live(nil), Dead: r.rep.Map().Departures("")}
+	if all.Empty() {
+		// A replica that was emptied must not empty the file.
 		return true
 	}
-	raw, err := msgpack.Marshal(savedWorkers{Mesh: r.P.Mesh, All: ormap.Delta{Adds: live, Dead: r.rep.Map().Departures("")}.Pack()})
+	raw, err := msgpack.Marshal(savedWorkers{Mesh: r.P.Mesh, All: all.Pack()})
 	if err != nil || disk.Save(r.e.FS, workersFile, raw) != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/registry/savedworkers_test.go
@@ -0,0 +1,59 @@
+package registry
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"puffincrank/internal/disk"
+	"puffincrank/internal/env"
+	"puffincrank/internal/event"
+	"puffincrank/internal/hlc"
+	"puffincrank/internal/ormap"
+	"puffincrank/internal/props"
+	"puffincrank/internal/task"
+	"puffincrank/internal/wire"
+)
+
+// onDisk makes a control node that keeps its workers in a folder.
+func onDisk(t *testing.T, folder string) *Registry {
+	t.Helper()
+	fs, err := disk.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := props.Props{Node: "c", Mesh: "m", Area: "a", Inner: "10.0.0.1:1", Change: 2 * time.Second, Leave: 2 * time.Second, Window: 10 * time.Second,
+		Return: 15 * time.Second, Retire: 10 * time.Second, Frame: 1 << 20, Jobs: 16, Seeds: []string{"10.0.0.1:1"}}
+	r := New(p, env.Env{Wall: time.Now, Pause: task.Pause, Log: event.New("c", io.Discard), FS: fs})
+	t.Cleanup(r.Kill)
+	return r
+}
+
+// TestLastWorkerLeaves: that a worker is gone for good outlasts a loss of all
+// processes also where it was the only one, and an emptied replica leaves the file
+// as it is.
+func TestLastWorkerLeaves(t *testing.T) {
+	folder := t.TempDir()
+	r := onDisk(t, folder)
+	r.life.Fire("filled")
+	dot := ormap.Dot{Node: "n#1", At: hlc.New(time.Now, time.Second).Now()}
+	entry := ormap.Entry{Dot: dot, Service: "s", Worker: "w", Owner: "n", Inner: "10.0.0.2:1", Area: "a", Meta: map[string]string{"state": "up"}}
+	r.rep.Accept(ormap.Delta{Adds: []ormap.Entry{entry}})
+	if !r.saveWorkers() {
+		t.Fatal("the worker is not kept")
+	}
+	leave := ormap.Delta{Dead: []ormap.Grave{{Dot: dot, Why: "signed off", Worker: "w"}}}
+	if _, err := r.onWorkerLeaves(t.Context(), wire.Hello{}, leave); err != nil {
+		t.Fatal(err)
+	}
+	emptied := onDisk(t, folder)
+	emptied.life.Fire("filled")
+	if !emptied.saveWorkers() {
+		t.Error("nothing to keep is no failure")
+	}
+	again := onDisk(t, folder)
+	again.loadWorkers()
+	if !again.rep.Map().Departed("w") || len(again.rep.Map().Live(nil)) != 0 {
+		t.Errorf("departed %v, registered again %v", again.rep.Map().Departed("w"), again.rep.Map().Live(nil))
+	}
+}
