The soak binds a worker's address again while a starting process holds the old listener

Cause: the soak's workers stand in the process that starts the nodes; a child has copies of its listeners until it runs its own program. Ruled out: ports of outgoing connections (32768 on). Only the soak is concerned; the product starts no processes.

--- a/internal/fleetrun/soak/start.go
+++ b/internal/fleetrun/soak/start.go
@@ -59,7 +59,11 @@
 	id := witness.Worker{Name: fmt.Sprintf("w%d-%d", m.number, m.births), Service: m.service, Machine: m.name, Area: m.area}
 	w := ways
 	w.Speed = 0.8 + float64(m.number%5)*0.15
-	k, err := play.Start(quiet(id.Name), play.Plain, id, m.host+":9000", m.host+":8000", []string{m.host + ":7003"}, w, f.wit, f.o.Seed*1000+uint64(m.number)+500)
+	var k *play.Worker
+	err := process.Bind(func() (err error) {
+		k, err = play.Start(quiet(id.Name), play.Plain, id, m.host+":9000", m.host+":8000", []string{m.host + ":7003"}, w, f.wit, f.o.Seed*1000+uint64(m.number)+500)
+		return err
+	})
 	if err != nil {
 		f.blame("worker of %s did not start: %v", m.name, err)
 		return
