--- a/cmd/known/main.go
+++ b/cmd/known/main.go
@@ -28,7 +28,7 @@
 		fmt.Fprintf(os.Stderr, "known: %s: %v\n", os.Args[1], err)
 		return 2
 	}
-	got, err := known.Hear(os.Stdin, os.Stdout)
+	got, err := known.ReadRun(os.Stdin, os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "known:", err)
 		return 1
--- a/internal/known/known_test.go
+++ b/internal/known/known_test.go
@@ -9,7 +9,7 @@
 // lines say nothing.
 func TestRead(t *testing.T) {
 	got, err := Read("# note\n\ninternal/sim TestA/one | late | #12\n")
-	if err != nil || len(got) != 1 || got[0] != (Red{"internal/sim", "TestA/one", "late", "#12"}) {
+	if err != nil || len(got) != 1 || got[0] != (KnownFailure{"internal/sim", "TestA/one", "late", "#12"}) {
 		t.Errorf("%v %v", got, err)
 	}
 	for _, bad := range []string{"internal/sim TestA", "internal/sim TestA | late", "internal/sim TestA | | #1", "internal/sim | late | #1", "internal/sim Fuzz | late | #1", "a TestA | b | c | d"} {
@@ -28,33 +28,33 @@
 	failed := line("output", "TestA", `a_test.go:1: no\n`) + line("fail", "TestA", "")
 	part := line("output", "TestA/one", `a_test.go:1: no\n`) + line("fail", "TestA/one", "") + line("fail", "TestA", "")
 	end, exit := line("output", "", `FAIL\tx\n`)+line("fail", "", ""), `{"Action":"exit"}`+"\n"
-	a, one := Red{"internal/sim", "TestA", "c", "#1"}, Red{"internal/sim", "TestA/one", "c", "#1"}
+	a, one := KnownFailure{"internal/sim", "TestA", "c", "#1"}, KnownFailure{"internal/sim", "TestA/one", "c", "#1"}
 	for _, c := range []struct {
 		name, in string
-		list     []Red
+		list     []KnownFailure
 		good     bool
 		say      string
 	}{
 		{"all pass", line("pass", "TestA", "") + line("pass", "", ""), nil, true, ""},
 		{"one fails", failed + end + exit, nil, false, "FAILED: puffincrank/internal/sim TestA"},
 		{"its words are told", failed + end + exit, nil, false, "a_test.go:1: no"},
-		{"one listed fails", failed + end + exit, []Red{a}, true, "KNOWN RED: puffincrank/internal/sim TestA: c (#1)"},
-		{"another is listed", failed + end + exit, []Red{{"internal/sim", "TestAll", "c", "#1"}}, false, "FAILED"},
-		{"one of another package is listed", failed + end + exit, []Red{{"internal/rules", "TestA", "c", "#1"}}, false, "FAILED"},
-		{"a part listed", part + end + exit, []Red{one}, true, "KNOWN RED"},
-		{"the whole listed", part + end + exit, []Red{a}, true, "KNOWN RED"},
-		{"another part fails too", line("fail", "TestA/two", "") + part + end + exit, []Red{one}, false, "TestA/two"},
-		{"a listed one passes", line("pass", "TestA", "") + line("pass", "", ""), []Red{a}, true, "did not fail"},
-		{"a listed one panics", line("output", "TestA", `panic: oh\n`) + failed + end + exit, []Red{a}, false, "NOT ENDED"},
+		{"one listed fails", failed + end + exit, []KnownFailure{a}, true, "KNOWN RED: puffincrank/internal/sim TestA: c (#1)"},
+		{"another is listed", failed + end + exit, []KnownFailure{{"internal/sim", "TestAll", "c", "#1"}}, false, "FAILED"},
+		{"one of another package is listed", failed + end + exit, []KnownFailure{{"internal/rules", "TestA", "c", "#1"}}, false, "FAILED"},
+		{"a part listed", part + end + exit, []KnownFailure{one}, true, "KNOWN RED"},
+		{"the whole listed", part + end + exit, []KnownFailure{a}, true, "KNOWN RED"},
+		{"another part fails too", line("fail", "TestA/two", "") + part + end + exit, []KnownFailure{one}, false, "TestA/two"},
+		{"a listed one passes", line("pass", "TestA", "") + line("pass", "", ""), []KnownFailure{a}, true, "did not fail"},
+		{"a listed one panics", line("output", "TestA", `panic: oh\n`) + failed + end + exit, []KnownFailure{a}, false, "NOT ENDED"},
 		{"the process crashes in a test", line("output", "TestA", `SIGSEGV: segmentation violation\n`) + end + exit, nil, false, "SIGSEGV"},
 		{"the process crashes after a test", line("output", "TestA", `ThreadSanitizer: CHECK failed\n`) + line("pass", "TestA", "") + end + exit, nil, false, "ThreadSanitizer: CHECK failed"},
-		{"no end", failed, []Red{a}, false, "NOT ENDED"},
-		{"did not build", `{"ImportPath":"x","Action":"build-output","Output":"x.go:1: what\n"}` + "\n" + end + exit, []Red{a}, false, "x.go:1: what"},
+		{"no end", failed, []KnownFailure{a}, false, "NOT ENDED"},
+		{"did not build", `{"ImportPath":"x","Action":"build-output","Output":"x.go:1: what\n"}` + "\n" + end + exit, []KnownFailure{a}, false, "x.go:1: what"},
 		{"nothing ran", "no go files\n" + exit, nil, false, "no go files"},
 		{"empty", "", nil, false, "the run itself"},
 		{"the command alone failed", line("pass", "", "") + exit, nil, false, "the run itself"},
 	} {
-		got, err := Hear(strings.NewReader(c.in), &strings.Builder{})
+		got, err := ReadRun(strings.NewReader(c.in), &strings.Builder{})
 		if err != nil {
 			t.Fatal(err)
 		}
