Sight: what ends a request without its worker's answer, and who held a change

Cause: neither log nor metrics told which bound ended a request, how long after the order to end, and whether a worker may have run it; nor which members had a change on their disks when it was acknowledged, and what a disk held at a start. What: events 609 (unanswered; one line a beat, up to 64 in a stop, all of them in the trail), 317 (chosen; each change of the configuration, others one a beat) and 318 (reopened); how long a stop took stands in 'stopped'. Tests: TestSightOfStop, TestSightOfChanges. No change of logic.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,6 +31,8 @@
 	StateLarge    = Kind{314, "state-large", "the replicated state nears its bound, beyond which changes are refused", true}
 	SnapshotBad   = Kind{315, "snapshot-bad", "a snapshot came damaged or not as announced; nothing of it was installed", true}
 	Left          = Kind{316, "store-left", "a member stopped politely, with its place given or the others whole", false}
+	Chosen        = Kind{317, "chosen", "an entry was acknowledged: at which slot, and which members had it on their disks then", false}
+	Reopened      = Kind{318, "reopened", "what a store's disk held at its start", false}
 	Won           = Kind{401, "duty-won", "this node won a duty", false}
 	Lost          = Kind{402, "duty-lost", "this node lost or gave up a duty", true}
 	SessionUp     = Kind{403, "session-up", "a session with a control node stands", false}
@@ -55,6 +57,7 @@
 	Stranger      = Kind{606, "stranger", "another than the worker stands at its address; no job was sent", true}
 	CallerLeft    = Kind{607, "caller-left", "callers left before their answers; the newest is named", false}
 	RunEnded      = Kind{608, "run-ended", "runs were ended at the worker since their callers had left; the newest is named", false}
+	Unanswered    = Kind{609, "unanswered", "a request that may have run ended without its worker's answer: by which bound, and how long after the order to end", true}
 	ConfigTaken   = Kind{701, "config-taken", "a configuration version is in force here", false}
 	ConfigBad     = Kind{702, "config-bad", "a configuration was refused", true}
 	ConfigSet     = Kind{703, "config-set", "a configuration was acknowledged", false}
@@ -66,8 +69,8 @@
 
 // Catalogue lists every kind in order.
 var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, BadLink, Unspoken, Mute,
-	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall, StateLarge, SnapshotBad, Left,
+	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall, StateLarge, SnapshotBad, Left, Chosen, Reopened,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch, Unsure,
 	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining, WorkerState, CallLate,
-	Garbled, Unfit, Fit, BeatBad, Twice, Stranger, CallerLeft, RunEnded,
+	Garbled, Unfit, Fit, BeatBad, Twice, Stranger, CallerLeft, RunEnded, Unanswered,
 	ConfigTaken, ConfigBad, ConfigSet, Proposed, Promoted, HeldBack, Emergency}
--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -50,8 +50,8 @@
 	{"repeat-not-counted", Repeats, "internal/repeats/repeats.go", "	r.second.add(now, 1)\n", "	r.first.add(now, 1)\n", "repeats", "."},
 	{"calls-not-held", Repeats, "internal/repeats/repeats.go", "		b.rows[s].held += n\n", "		b.rows[s].held += 0 * n\n", "repeats", "TestHold"},
 
-	{"jobs-not-awaited", Planned, "internal/proxy/proxy.go", "	for under() > 0 && ctx.Err() == nil {", "	for under() > 1<<40 && ctx.Err() == nil {", "sim", "TestLongStop"},
-	{"shut-at-once", Planned, "internal/proxy/proxy.go", "	task.Pause(ctx, x.P.Leave*3/4)\n	x.left.Store(true)\n	x.leaveGates()\n	task.Pause(ctx, x.P.Leave/2)\n", "	x.left.Store(true)\n	x.leaveGates()\n", "sim", "TestRoll"},
+	{"jobs-not-awaited", Planned, "internal/proxy/stop.go", "	for under() > 0 && ctx.Err() == nil {", "	for under() > 1<<40 && ctx.Err() == nil {", "sim", "TestLongStop"},
+	{"shut-at-once", Planned, "internal/proxy/stop.go", "	task.Pause(ctx, x.P.Leave*3/4)\n	x.left.Store(true)\n	x.leaveGates()\n	task.Pause(ctx, x.P.Leave/2)\n", "	x.left.Store(true)\n	x.leaveGates()\n", "sim", "TestRoll"},
 	{"no-goodbye", Planned, "internal/wire/bye.go", "func (n *Node) Leave(long time.Duration) {\n", "func (n *Node) Leave(long time.Duration) {\n	if long > 0 {\n		return\n	}\n", "wire", "TestGoodbye"},
 
 	{"one-lane", Passing, "internal/proxy/steps.go", "	ctx = wire.Lane(ctx, x.lane(j))\n", "	ctx = wire.Lane(ctx, wire.Jobs)\n", "sim", "TestThinLinks"},
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -120,6 +120,7 @@
 	defer stop()
 	defer x.heedsLeaving(j)()
 	x.run(ctx, j)
+	x.noteUnanswered(ctx, j)
 	x.receipt(w, j)
 }
 
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -65,6 +65,9 @@
 	if v.back.Kind == session.Refused && !v.back.Came {
 		x.step(v, stepRefused, v.back.Why)
 	}
+	if v.back.Kind == session.Unknown {
+		x.step(v, stepUnknown, v.back.Why)
+	}
 	v.back.Used, v.back.Inner = -1, v.ask.Inner
 	if v.gate != nil {
 		x.ended(v)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -47,9 +47,12 @@
 	knows       *recall
 	load        *load
 	trail       trail
-	gone        *event.Limiter // of callers that left
-	runsEnded   *event.Limiter // of runs ended for them
-	fitnessNews *newsRate      // of what the mesh is told of its workers' fitness
+	gone        *event.Limiter            // of callers that left
+	runsEnded   *event.Limiter            // of runs ended for them
+	unanswered  *event.Limiter            // of requests without their worker's answers
+	stopLines   stopLines                 // of those, since this node was told to end
+	stopped     atomic.Pointer[time.Time] // when that was
+	fitnessNews *newsRate                 // of what the mesh is told of its workers' fitness
 	way         *way
 	pulse       *pulse.Pulse
 	say         tongue.Tongue
@@ -105,6 +108,7 @@
 	x.knows = newRecall(p.Beat() / 32)
 	x.load = newLoad(&p)
 	x.gone, x.runsEnded = event.NewLimiter(p.Beat()), event.NewLimiter(p.Beat())
+	x.unanswered = event.NewLimiter(p.Beat())
 	x.stay.Bound(callers(&p))
 	x.limits(nil)
 	x.fitnessNews = newNewsRate(time.Now())
@@ -169,60 +173,6 @@
 	x.g.Stop()
 }
 
-// Stop ends politely: readiness falls, fellows get the time to notice, jobs
-// under way end, then the node signs off.
-func (x *Proxy) Stop() {
-	x.e.Log.Emit(event.Stopping, "program", "proxy", "jobs", x.busy.Load())
-	if !x.life.Fire("stop") {
-		return
-	}
-	last := time.Now().Add(x.P.Grace * 8 / 10)
-	x.ends.Store(&last)
-	// Large answers that wait for a thin link on their way here go first now.
-	x.n.Haste()
-	ctx, end := context.WithTimeout(x.g.Context(), x.P.Grace*17/20)
-	defer end()
-	// Callers learn from readiness, which the platform polls; until they had
-	// the time to, this front goes on taking their jobs, and for as long as the
-	// own worker runs some, since they may call others through it.
-	// The own worker serves on meanwhile, and is flagged only so early that all
-	// fronts have seen it when this node goes.
-	task.Pause(ctx, x.P.Leave*3/4)
-	x.left.Store(true)
-	x.leaveGates()
-	task.Pause(ctx, x.P.Leave/2)
-	x.rest(ctx, x.owned.Load)
-	// From here on an answer ends its connection, and idle ones end now: no
-	// caller sends into a connection that is about to go.
-	x.door.SetKeepAlivesEnabled(false)
-	x.life.Fire("shut")
-	x.rest(ctx, func() int64 { return x.busy.Load() + x.owned.Load() + x.n.Queued() })
-	x.lastWord()
-	x.signOff()
-	x.touch.Bye()
-	x.n.Leave(x.P.Parting())
-	x.life.Fire("end")
-	x.Kill()
-	x.e.Log.Emit(event.Stopped, "program", "proxy")
-}
-
-// lastWord ends the jobs that this front can't wait for any longer: each caller
-// is told that the outcome is unknown, or that it did not run, rather than that
-// its connection just ends.
-func (x *Proxy) lastWord() {
-	x.over()
-	ctx, end := context.WithTimeout(x.g.Context(), x.P.Grace/20)
-	defer end()
-	x.rest(ctx, x.busy.Load)
-}
-
-// rest waits until none of something is under way.
-func (x *Proxy) rest(ctx context.Context, under func() int64) {
-	for under() > 0 && ctx.Err() == nil {
-		task.Pause(ctx, x.P.Beat()/10)
-	}
-}
-
 // forget drops attempt ids that are older than any time left could be.
 func (x *Proxy) forget(context.Context) {
 	// Whoever was away for longer than graves are kept may have brought them back.
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -174,6 +174,9 @@
 	return next
 }
 
+// noReceipt is why an attempt ends whose owner, or the link to it, said no more.
+const noReceipt = "no receipt from the owner"
+
 // away hands the attempt over to another node and checks what comes back.
 func (x *Proxy) away(ctx context.Context, j *job, h session.Hand, left time.Duration) session.Back {
 	if time.Until(j.end)-left > left/8 {
@@ -199,7 +202,7 @@
 		return session.Back{Kind: session.Refused, Why: "owner can't be reached", Come: (x.P.Change / 2).Milliseconds(), Used: -1}
 	default:
 		x.pick.Shun(j.entry.Owner, x.P.Change/2)
-		return session.Back{Kind: session.Unknown, Why: "no receipt from the owner", Late: ctx.Err() != nil, Used: -1}
+		return session.Back{Kind: session.Unknown, Why: noReceipt, Late: ctx.Err() != nil, Used: -1}
 	}
 	// The answer is checked again here: it must be for this very attempt.
 	if b.Kind == session.Done && (b.Worker != h.Worker || x.say.Digest && b.Seal != seal.Of(h.Attempt, h.Worker, b.Status, b.Body)) {
--- a/internal/proxy/trail.go
+++ b/internal/proxy/trail.go
@@ -16,6 +16,9 @@
 	stepCancelled = "cancelled"   // the owner heard that the caller had gone
 	stepEnded     = "run-ended"   // the owner closed the connection on which it ran
 	stepKept      = "run-kept"    // it runs on, since it may not be run again
+	stepUnknown   = "unknown"     // the owner has no answer of the worker, which may have run it
+	// The front answered a request that may have run, without its worker's answer.
+	stepUnanswered = "unanswered"
 )
 
 // Step is one decision about a request, with what this node knew of the worker
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -212,7 +212,7 @@
 	}
 	r.n.Leave(r.P.Parting())
 	r.Kill()
-	r.e.Log.Emit(event.Stopped, "program", "registry")
+	r.e.Log.Emit(event.Stopped, "program", "registry", "after_ms", time.Since(from).Milliseconds())
 }
 
 // Ready tells whether outside calls and sessions are taken.
--- /dev/null
+++ b/internal/sim/sightstop_test.go
@@ -0,0 +1,108 @@
+package sim
+
+import (
+	"context"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/event"
+	"puffincrank/internal/stand"
+)
+
+// logOf collects the events of a fleet by name.
+func logOf(f *Fleet) func(name string) []string {
+	log := map[string][]string{}
+	f.Log = func(e event.Entry) {
+		f.mu.Lock()
+		log[e.Name] = append(log[e.Name], e.Node+" "+e.Say)
+		f.mu.Unlock()
+	}
+	return func(name string) []string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return append([]string(nil), log[name]...)
+	}
+}
+
+// TestSightOfStop: a front is told to end while a worker is at work on a request of
+// its caller, for longer than the front can wait. Its log and its trail tell what
+// ended the request, how long after the order, and at which worker it was.
+func TestSightOfStop(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := small()
+		s.Took["pages"] = 60 * time.Second
+		s.Doc = strings.Replace(s.Doc, `"class":"reading","left_ms":1000`, `"class":"reading","left_ms":60000,"aim_ms":50000`, 1)
+		f := NewFleet(t, s, 441)
+		lines := logOf(f)
+		defer f.Stop()
+		f.Start()
+		at := f.other("pages")
+		line := s.Lines[0]
+		line.Left = "60000"
+		ended := make(chan []stand.Call, 1)
+		f.g.Go("call", func(context.Context) { ended <- f.atFront(at, line, 1) })
+		Wait(300 * time.Millisecond)
+		at.Proxy.Stop()
+		<-ended
+		told := strings.Join(lines("unanswered"), "\n")
+		found := regexp.MustCompile(`by=stop .*worker=\S+ owner=\S+ held_ms=\d+ stop_ms=(\d+)`).FindStringSubmatch(told)
+		if found == nil {
+			t.Fatalf("the log does not tell what ended the request: %q", told)
+		}
+		if ms, _ := strconv.Atoi(found[1]); ms < 1000 || ms > 15000 { // of a grace of 15 s
+			t.Errorf("ended %d ms after the order", ms)
+		}
+		if len(lines("stopped")) == 0 || !strings.Contains(strings.Join(lines("stopped"), "\n"), "after_ms=") {
+			t.Error("the log does not tell how long the stop took")
+		}
+	})
+}
+
+// TestSightOfChanges: for each acknowledged change of the configuration the leader's
+// log names the members that had it on their disks by then, and a store that starts
+// again tells what its disk held.
+func TestSightOfChanges(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, small(), 442)
+		lines := logOf(f)
+		defer f.Stop()
+		f.Start()
+		var last uint64
+		for i := range 5 {
+			code, v := f.Apply(f.Nodes[0].Host+":7003", uint64(i+1), small().Doc)
+			if code != 200 {
+				t.Fatalf("apply answered %d", code)
+			}
+			last = v
+		}
+		chosen := strings.Join(lines("chosen"), "\n")
+		for v := uint64(1); v <= last; v++ {
+			held := regexp.MustCompile(` version=` + strconv.FormatUint(v, 10) + ` ballot=\S+ held_by=\[(\S+ \S+[^]]*)\]`).FindString(chosen)
+			if held == "" {
+				t.Errorf("the log does not tell who held version %d: %s", v, chosen)
+			}
+		}
+		for _, c := range f.Cores {
+			f.KillCore(c, true)
+		}
+		for _, c := range f.Cores {
+			f.BackCore(c)
+		}
+		f.Until(15*time.Second, "all stores are ready", f.coreReady)
+		reopened := regexp.MustCompile(`replica=\w+ applied=\d+ digest=\w* version=(\d+) accepted=\d+ promised=`).FindAllStringSubmatch(strings.Join(lines("reopened"), "\n"), -1)
+		if len(reopened) < 2*len(f.Cores) {
+			t.Fatalf("%d of %d starts tell what the disk held", len(reopened), 2*len(f.Cores))
+		}
+		for _, m := range reopened[len(reopened)-len(f.Cores):] {
+			if v, _ := strconv.ParseUint(m[1], 10, 64); v+1 < last {
+				t.Errorf("a disk held version %d of %d", v, last)
+			}
+		}
+	})
+}
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -116,7 +116,9 @@
 		end()
 		if len(got) >= need {
 			s.e.Trace.Tell(trace.Chosen{Replica: s.acc.Identity().ID, Ballot: t.num, Slot: e.Index, Sum: string(e.Digest()), Acceptors: acceptors})
-			return s.apply(&e)
+			out, err := s.apply(&e)
+			s.tellChosen(&e, acceptors)
+			return out, err
 		}
 		if higher >= need {
 			return nil, fault.New(fault.Stale, "a higher ballot was promised")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -87,6 +87,7 @@
 	warnedLarge time.Time // when a state near its bound was last named
 
 	// What this store's own clock says of the state.
+	chosenLog     chosenLog
 	leases        map[string]lease // when each lock's time runs out
 	revisionMarks []revisionMark   // which revisions stood when
 	requestMarks  []requestMark    // how many requests had been answered when
@@ -182,6 +183,7 @@
 		return err
 	}
 	s.e.Log.Emit(event.Started, "program", "store", "inner", s.P.Inner, "replica", s.acc.Identity().ID)
+	s.tellOpened()
 	s.g.Go("life", s.run)
 	s.g.Go("pulse", func(ctx context.Context) { s.pulse.Run(ctx, s.e.Pause) })
 	return nil
