A stop answers all that it took, and begins nothing that it can't end

Cause: a node that was told to end (1) ended what it waited for by a context that only attempts at other nodes heard of, so callers of requests at its own worker had their connections closed without an answer; (2) begun by an estimate what came late in its stop and broke it off after 17/20 of the grace, though from 3 s on nothing excuses that; (3) began runs for others that outlasted it. Now: one schedule of a stop (internal/grace), counted backwards from its end: answers are waited for until 13/15 of the grace, then all get one, at the own worker as well, also fronts whose attempt is there; a request that comes later than 2.5 s after the order is begun only if its own time ends before that, else 503 with a time to come back; a node in a stop begins nothing for others that three times its usual time would carry beyond. Answers count as given when they are written to the connection, not when the handler returns. The registry goes by the same schedule.

--- /dev/null
+++ b/internal/grace/grace.go
@@ -0,0 +1,54 @@
+// Package grace divides the grace period of a process that was told to end. All
+// bounds of a stop are counted backwards from the moment at which the process is
+// killed, and stand here alone.
+package grace
+
+import "time"
+
+// The parts of a grace period, each as a divisor of it.
+const (
+	exitPart     = 20 // kept for the end of the process on a busy processor
+	answerPart   = 20 // for writing the answers to what could not be waited for
+	longPart     = 12 // longPart fives of it: see LongUntil
+	longFraction = 5
+)
+
+// LongAtMost bounds the time after the order to end in which work is begun that may
+// last until the end, whatever the grace period is: from 3 s on callers can't be told
+// that it did not end, and the order takes time to be read on a busy processor.
+const LongAtMost = 2500 * time.Millisecond
+
+// Schedule is the plan of one stop.
+type Schedule struct {
+	began   time.Time
+	length  time.Duration
+	parting time.Duration
+}
+
+// Begin plans a stop that begins now. The length is the grace period, and parting the
+// time for goodbyes to other nodes.
+func Begin(length, parting time.Duration) *Schedule {
+	return &Schedule{began: time.Now(), length: length, parting: parting}
+}
+
+// Since is how long ago the stop began.
+func (s *Schedule) Since() time.Duration { return time.Since(s.began) }
+
+// LongUntil is until when work is begun that may be under way when answers are
+// waited for no more. Later only what is certain to end before that is begun.
+func (s *Schedule) LongUntil() time.Time {
+	return s.began.Add(min(s.length*longFraction/longPart, LongAtMost))
+}
+
+// WaitUntil is until when answers to what is under way are waited for: thirteen
+// fifteenths of the grace period, with a parting of a thirtieth.
+func (s *Schedule) WaitUntil() time.Time { return s.AnswerUntil().Add(-s.length / answerPart) }
+
+// AnswerUntil is until when whoever was waited for in vain is told so.
+func (s *Schedule) AnswerUntil() time.Time { return s.Ends().Add(-s.parting) }
+
+// Ends is when the process is to have ended by itself.
+func (s *Schedule) Ends() time.Time { return s.began.Add(s.length - s.length/exitPart) }
+
+// WaitsFor is how long answers are still waited for, negative when they are not.
+func (s *Schedule) WaitsFor() time.Duration { return time.Until(s.WaitUntil()) }
--- /dev/null
+++ b/internal/grace/grace_test.go
@@ -0,0 +1,32 @@
+package grace
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestSchedule: for grace periods of any length the bounds of a stop follow each
+// other, answers are waited for until the last sixth has begun, and what may last
+// until the end is begun in the first half only.
+func TestSchedule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, length := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 6 * time.Second, 15 * time.Second, time.Minute} {
+			s := Begin(length, length/30)
+			began := time.Now()
+			bounds := []time.Time{began, s.LongUntil(), began.Add(length / 2), began.Add(length*5/6 + length/40), s.WaitUntil(), s.AnswerUntil(), s.Ends(), began.Add(length)}
+			for i := 1; i < len(bounds); i++ {
+				if !bounds[i].After(bounds[i-1]) {
+					t.Errorf("grace of %v: bound %d is %v after the order, bound %d %v", length, i, bounds[i].Sub(began), i-1, bounds[i-1].Sub(began))
+				}
+			}
+			if long := s.LongUntil().Sub(began); long >= 3*time.Second {
+				t.Errorf("grace of %v: work is begun that may last until the end %v after the order", length, long)
+			}
+			<-time.After(length / 4)
+			if s.Since() != length/4 || s.WaitsFor() != s.WaitUntil().Sub(began)-length/4 {
+				t.Errorf("grace of %v: %v after the order, waits for %v", length, s.Since(), s.WaitsFor())
+			}
+		}
+	})
+}
--- a/internal/outer/door.go
+++ b/internal/outer/door.go
@@ -17,6 +17,7 @@
 type Stay struct {
 	head, idle atomic.Int64
 	most, open atomic.Int64 // connections: the bound, 0 for none, and how many there are
+	active     atomic.Int64 // of them, those whose request has begun to come and isn't answered
 }
 
 // Bound sets how many connections there may be at once; 0 sets no bound.
@@ -25,6 +26,10 @@
 // Open tells how many there are.
 func (s *Stay) Open() int64 { return s.open.Load() }
 
+// Active tells on how many connections a request has begun to come whose answer is
+// not written to its end.
+func (s *Stay) Active() int64 { return s.active.Load() }
+
 // Crowded tells that three quarters of the bound are reached: answers should
 // end their connections then, before new ones have to be turned away.
 func (s *Stay) Crowded() bool {
@@ -49,8 +54,8 @@
 	return open(g, e, addr, h, head, func(srv *http.Server, ear net.Listener) net.Listener {
 		srv.MaxHeaderBytes = most
 		srv.ConnState = func(c net.Conn, now http.ConnState) {
-			if k, ok := c.(*caller); ok && now == http.StateIdle {
-				k.rests()
+			if k, ok := c.(*caller); ok {
+				k.becomes(now)
 			}
 		}
 		srv.ConnContext = withFrame
@@ -102,6 +107,22 @@
 	more time.Duration // by how much the header's time was moved
 	once sync.Once
 	head headLook
+	busy atomic.Bool // a request on it is not answered to its end
+}
+
+// becomes notes what the server says of the connection.
+func (k *caller) becomes(now http.ConnState) {
+	active := now == http.StateActive
+	if k.busy.Swap(active) != active {
+		if active {
+			k.l.stay.active.Add(1)
+		} else {
+			k.l.stay.active.Add(-1)
+		}
+	}
+	if now == http.StateIdle {
+		k.rests()
+	}
 }
 
 // Close ends the connection, which then no longer counts.
--- a/internal/proxy/callerleft.go
+++ b/internal/proxy/callerleft.go
@@ -28,38 +28,49 @@
 	})
 }
 
-// endsWith ends the run of an attempt when its caller leaves, by the connection to
-// the worker, if it may run again: whoever sends it anew has it run anew. What may
-// run but once goes on, since its effect may be half done. The result, false if the
-// connection was ended, is called before the connection is used again.
+// endsWith ends the run of an attempt by the connection to the worker: when this node
+// can wait for it no longer, and, if it may run again, when its caller leaves, since
+// whoever sends it anew has it run anew. What may run but once goes on for a caller
+// that left, since its effect may be half done. The result, false if the connection
+// was ended, is called before the connection is used again.
 func (x *Proxy) endsWith(ctx context.Context, v *visit, k *line) (release func() bool) {
 	var mu sync.Mutex
 	over := false
 	stop := context.AfterFunc(ctx, func() {
 		mu.Lock()
 		defer mu.Unlock()
-		if over || !wire.Abandoned(ctx) {
+		ending := errors.Is(context.Cause(ctx), errEnding)
+		if over || !ending && !wire.Abandoned(ctx) {
 			return
 		}
 		x.step(v, stepCancelled, "")
-		if !v.in.Safe {
+		if !ending && !v.in.Safe {
 			x.step(v, stepKept, "")
 			return
 		}
-		v.left = true
+		v.cut = whyLeft
+		if ending {
+			v.cut = whyEnding
+		}
 		_ = k.c.Close()
-		x.step(v, stepEnded, "")
-		x.runsEnded.Emit(x.e.Log, event.RunEnded, "worker", v.in.Worker, "attempt", v.in.Attempt)
+		x.step(v, stepEnded, v.cut)
+		x.runsEnded.Emit(x.e.Log, event.RunEnded, "worker", v.in.Worker, "attempt", v.in.Attempt, "why", v.cut)
 	})
 	return func() bool {
 		stop()
 		mu.Lock()
 		defer mu.Unlock()
 		over = true
-		return !v.left
+		return v.cut == ""
 	}
 }
 
+// Why this node ended a run.
+const (
+	whyLeft   = "its caller has left"
+	whyEnding = "its node is ending"
+)
+
 // errEnding is why a job's context ends when its front can wait for it no longer.
 // Its caller is still there, so nothing is abandoned by it.
 var errEnding = errors.New("the front is ending")
@@ -67,12 +78,21 @@
 // jobContext is the context of a job: until its time is up, its caller has left, or
 // a stop of this node can wait for it no longer.
 func (x *Proxy) jobContext(j *job) (ctx context.Context, stop func()) {
-	ctx, cancel := context.WithCancelCause(j.req.Context())
+	ctx, over := x.untilLate(j.req.Context())
 	ctx, end := context.WithDeadline(ctx, j.end)
+	return ctx, func() {
+		end()
+		over()
+	}
+}
+
+// untilLate gives a context that ends with another one, or when a stop of this node
+// can wait no longer.
+func (x *Proxy) untilLate(of context.Context) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(of)
 	heeds := context.AfterFunc(x.late, func() { cancel(errEnding) })
 	return ctx, func() {
 		heeds()
-		end()
 		cancel(nil)
 	}
 }
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -80,8 +80,8 @@
 	v.back.Came = true
 	release := x.endsWith(ctx, v, k)
 	w, body, err := x.way.send(k, r, v.end, x.surplus(v), release)
-	if err != nil && v.left {
-		return v.unknown("its caller has left")
+	if err != nil && v.cut != "" {
+		return v.unknown(v.cut)
 	}
 	if err != nil {
 		v.stale = errors.Is(err, errForgot)
--- a/internal/proxy/ending.go
+++ b/internal/proxy/ending.go
@@ -13,16 +13,16 @@
 // before this node goes, too.
 func (x *Proxy) bears() time.Duration {
 	most := x.P.Grace * 6 / 10
-	if e := x.ends.Load(); e != nil {
-		most = min(most, time.Until(*e))
+	if plan := x.stop.Load(); plan != nil {
+		most = min(most, plan.WaitsFor()-x.P.Parting())
 	}
 	return max(most, time.Millisecond)
 }
 
 // ending tells that this node goes so soon that nothing more is begun for a job.
 func (x *Proxy) ending() bool {
-	e := x.ends.Load()
-	return e != nil && !time.Now().Before(*e)
+	plan := x.stop.Load()
+	return plan != nil && plan.WaitsFor() <= 0
 }
 
 // stays bounds how long a job that waited elsewhere already may wait at its next
@@ -42,11 +42,11 @@
 // rests is how long this front goes on waiting for answers, in ms and at least 1,
 // once it was told to end; 0 as long as it was not.
 func (x *Proxy) rests() int64 {
-	e := x.ends.Load()
-	if e == nil {
+	plan := x.stop.Load()
+	if plan == nil {
 		return 0
 	}
-	return max(time.Until(*e).Milliseconds(), 1)
+	return max(plan.WaitsFor().Milliseconds(), 1)
 }
 
 // keeps tells whether an attempt leaves a part of the job's time for a repeat. It
@@ -60,27 +60,35 @@
 		return false
 	}
 	usual := time.Duration(x.pick.Usual(j.path.Name) * float64(time.Millisecond))
-	return usual <= left-first(left) && x.ends.Load() == nil && time.Since(x.born) > x.P.Grace+x.P.Change
+	return usual <= left-first(left) && x.stop.Load() == nil && time.Since(x.born) > x.P.Grace+x.P.Change
 }
 
 // first is what the first of two attempts has of a job's time left.
 func first(left time.Duration) time.Duration { return left * 6 / 10 }
 
-// spares is how long an attempt whose front was told to end may wait, so that by
-// what jobs of its path take here it is answered before its front goes: begun
-// later, it would be broken off at work. False for all other attempts.
-func (v *visit) spares() (time.Duration, bool) {
-	if v.last.IsZero() {
-		return 0, false
+// spares is how long an attempt may wait that its front, which was told to end, or
+// this node waits for no longer than until some time: by what jobs of its path take
+// here it is answered before then. Begun later, it would be broken off at work.
+// False for all other attempts.
+func (x *Proxy) spares(v *visit) (wait time.Duration, ends bool) {
+	need := v.gate.need(v.in.Path, 0)
+	if !v.last.IsZero() {
+		wait, ends = time.Until(v.last)-need, true
 	}
-	return time.Until(v.last) - v.gate.need(v.in.Path, 0), true
+	// Other nodes can have it still, so here it must be all but certain.
+	if plan := x.stop.Load(); plan != nil {
+		if own := plan.WaitsFor() - 2*need; !ends || own < wait {
+			wait, ends = own, true
+		}
+	}
+	return wait, ends
 }
 
-// goes refuses an attempt that can't be answered before its front goes; another
-// front may have the job.
+// goes refuses an attempt that can't be answered before its front or this node goes;
+// another may have the job.
 func (x *Proxy) goes(v *visit) bool {
-	wait, ends := v.spares()
-	return !ends || wait > 0 || v.later("its front ends before it would be done", x.P.Beat())
+	wait, ends := x.spares(v)
+	return !ends || wait > 0 || v.later("a node on its way ends before it would be done", x.P.Beat())
 }
 
 // patience is how long an attempt waits for a slot: as long as it can then
@@ -88,14 +96,14 @@
 // half of the time left at most, so that it can be tried elsewhere. One that
 // will be late whatever is done waits a part of its time, after those that need
 // not be.
-func (v *visit) patience() time.Duration {
+func (x *Proxy) patience(v *visit) time.Duration {
 	wait := v.would()
 	for _, ms := range []int64{v.in.Wait, v.in.Stay} {
 		if ms > 0 {
 			wait = min(wait, time.Duration(ms)*time.Millisecond)
 		}
 	}
-	if most, ends := v.spares(); ends {
+	if most, ends := x.spares(v); ends {
 		wait = min(wait, max(most, 0))
 	}
 	return wait
--- a/internal/proxy/fit.go
+++ b/internal/proxy/fit.go
@@ -20,7 +20,7 @@
 	ms := own.Stop(v.run)
 	usual := x.pick.Usual(path)
 	switch {
-	case v.left:
+	case v.cut != "":
 		// It was ended from here.
 		return
 	case v.stale:
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -109,6 +109,10 @@
 		x.wrong(w, code, why)
 		return
 	}
+	if come, soon := x.stopTooSoon(j); soon {
+		x.busyNow(w, "this node ends before the job's time is over", come)
+		return
+	}
 	// Its answer will need room too.
 	if n := x.load.expects(j.path.Name); x.load.take(n) {
 		j.took += n
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"puffincrank/internal/class"
@@ -26,7 +27,7 @@
 	run   *nominate.Run
 	mute  bool   // the worker took no connection
 	stale bool   // it had forgotten a kept connection
-	left  bool   // its run was ended, since its caller has left
+	cut   string // why its run was ended from here; "" if it was not
 	lane  int    // that it came by
 	free  func() // gives back what was booked for its answer
 	ask   class.Ask
@@ -179,7 +180,10 @@
 // time left to be delivered in.
 func (x *Proxy) timely(ctx context.Context, v *visit) bool {
 	if wire.Abandoned(ctx) {
-		return v.refuse("its caller has left")
+		return v.refuse(whyLeft)
+	}
+	if errors.Is(context.Cause(ctx), errEnding) {
+		return v.refuse(whyEnding)
 	}
 	return time.Now().Before(v.end) || v.refuse("no time left before delivery")
 }
@@ -203,7 +207,7 @@
 	if !x.goes(v) {
 		return false
 	}
-	v.ask = class.Ask{Class: v.in.Class, Wait: v.patience(), Inner: x.kin.inner(v.in.Path), Rank: v.rank()}
+	v.ask = class.Ask{Class: v.in.Class, Wait: x.patience(v), Inner: x.kin.inner(v.in.Path), Rank: v.rank()}
 	if v.in.Rush {
 		v.ask.Wait = 0
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/hlc"
 	"puffincrank/internal/member"
 	"puffincrank/internal/nominate"
@@ -47,12 +48,11 @@
 	knows       *recall
 	load        *load
 	trail       trail
-	gone        *event.Limiter            // of callers that left
-	runsEnded   *event.Limiter            // of runs ended for them
-	unanswered  *event.Limiter            // of requests without their worker's answers
-	stopLines   stopLines                 // of those, since this node was told to end
-	stopped     atomic.Pointer[time.Time] // when that was
-	fitnessNews *newsRate                 // of what the mesh is told of its workers' fitness
+	gone        *event.Limiter // of callers that left
+	runsEnded   *event.Limiter // of runs ended for them
+	unanswered  *event.Limiter // of requests without their worker's answers
+	stopLines   stopLines      // of those, since this node was told to end
+	fitnessNews *newsRate      // of what the mesh is told of its workers' fitness
 	way         *way
 	pulse       *pulse.Pulse
 	say         tongue.Tongue
@@ -64,10 +64,10 @@
 	busy        atomic.Int64                // jobs under way as a front
 	owned       atomic.Int64                // attempts under way as an owner
 	seq         atomic.Uint64
-	slim        atomic.Int64              // attempts refused for want of room on a link
-	quit        atomic.Int64              // callers that left before their answers
-	left        atomic.Bool               // this node's workers are being left for good
-	ends        atomic.Pointer[time.Time] // when nothing waits any more, once it was told to end
+	slim        atomic.Int64                   // attempts refused for want of room on a link
+	quit        atomic.Int64                   // callers that left before their answers
+	left        atomic.Bool                    // this node's workers are being left for good
+	stop        atomic.Pointer[grace.Schedule] // of the stop, once it was told to end
 	boot        string
 	born        time.Time
 	late        context.Context // over when a stop can wait for jobs no longer
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -5,23 +5,23 @@
 	"time"
 
 	"puffincrank/internal/event"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/task"
 )
 
 // Stop ends politely: readiness falls, fellows get the time to notice, jobs
-// under way end, then the node signs off.
+// under way end, then the node signs off. When which of these is over stands in
+// its schedule.
 func (x *Proxy) Stop() {
 	x.e.Log.Emit(event.Stopping, "program", "proxy", "jobs", x.busy.Load())
 	if !x.life.Fire("stop") {
 		return
 	}
-	from := time.Now()
-	x.stopped.Store(&from)
-	last := from.Add(x.P.Grace * 8 / 10)
-	x.ends.Store(&last)
+	plan := grace.Begin(x.P.Grace, x.P.Parting())
+	x.stop.Store(plan)
 	// Large answers that wait for a thin link on their way here go first now.
 	x.n.Haste()
-	ctx, end := context.WithTimeout(x.g.Context(), x.P.Grace*17/20)
+	ctx, end := context.WithDeadline(x.g.Context(), plan.WaitUntil())
 	defer end()
 	// Callers learn from readiness, which the platform polls; until they had
 	// the time to, this front goes on taking their jobs, and for as long as the
@@ -38,28 +38,43 @@
 	x.door.SetKeepAlivesEnabled(false)
 	x.life.Fire("shut")
 	x.rest(ctx, func() int64 { return x.busy.Load() + x.owned.Load() + x.n.Queued() })
-	x.lastWord()
+	x.lastWord(plan)
 	x.signOff()
 	x.touch.Bye()
 	x.n.Leave(x.P.Parting())
 	x.life.Fire("end")
 	x.Kill()
-	x.e.Log.Emit(event.Stopped, "program", "proxy", "after_ms", time.Since(from).Milliseconds())
+	x.e.Log.Emit(event.Stopped, "program", "proxy", "after_ms", plan.Since().Milliseconds())
 }
 
-// lastWord ends the jobs that this front can't wait for any longer: each caller
-// is told that the outcome is unknown, or that it did not run, rather than that
-// its connection just ends.
-func (x *Proxy) lastWord() {
+// lastWord ends what can't be waited for any longer: each caller is told that the
+// outcome is unknown, or that it did not run, rather than that its connection just
+// ends, and so is each front whose attempt is at the own worker. Answers count as
+// given once they are written.
+func (x *Proxy) lastWord(plan *grace.Schedule) {
 	x.over()
-	ctx, end := context.WithTimeout(x.g.Context(), x.P.Grace/20)
+	ctx, end := context.WithDeadline(x.g.Context(), plan.AnswerUntil())
 	defer end()
-	x.rest(ctx, x.busy.Load)
+	x.rest(ctx, func() int64 { return x.busy.Load() + x.owned.Load() + x.stay.Active() })
 }
 
+// restStep is how often it is looked whether something is still under way.
+const restStep = 10 * time.Millisecond
+
 // rest waits until none of something is under way.
 func (x *Proxy) rest(ctx context.Context, under func() int64) {
 	for under() > 0 && ctx.Err() == nil {
-		task.Pause(ctx, x.P.Beat()/10)
+		task.Pause(ctx, restStep)
+	}
+}
+
+// stopTooSoon tells that a job is not begun, since this node was told to end a while
+// ago and may be gone before the job's time is over: it would be broken off at work.
+// Its caller may come back when the node has started again.
+func (x *Proxy) stopTooSoon(j *job) (come time.Duration, soon bool) {
+	plan := x.stop.Load()
+	if plan == nil || j.from.Before(plan.LongUntil()) || !j.end.After(plan.WaitUntil()) {
+		return 0, false
 	}
+	return max(time.Until(plan.Ends()), x.P.Beat()), true
 }
--- a/internal/proxy/unanswered.go
+++ b/internal/proxy/unanswered.go
@@ -73,9 +73,9 @@
 
 // sinceStop is how long ago this node was told to end; negative if it was not.
 func (x *Proxy) sinceStop() time.Duration {
-	from := x.stopped.Load()
-	if from == nil {
+	plan := x.stop.Load()
+	if plan == nil {
 		return -time.Millisecond
 	}
-	return time.Since(*from)
+	return plan.Since()
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,6 +15,7 @@
 
 	"puffincrank/internal/env"
 	"puffincrank/internal/event"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/hlc"
 	"puffincrank/internal/member"
 	"puffincrank/internal/outer"
@@ -204,15 +205,15 @@
 	// Outside callers learn from readiness, which the platform polls: they are
 	// served meanwhile, and calls under way get their answers.
 	// Whatever the bounds are, it has gone by itself before its grace is over.
-	from := time.Now()
+	plan := grace.Begin(r.P.Grace, r.P.Parting())
 	task.Pause(r.g.Context(), min(r.P.Leave, r.P.Grace/2))
 	r.life.Fire("shut")
-	for r.calls.Load() > 0 && time.Since(from) < r.P.Grace*17/20 {
+	for r.calls.Load() > 0 && plan.WaitsFor() > 0 {
 		task.Pause(r.g.Context(), r.P.Beat()/10)
 	}
 	r.n.Leave(r.P.Parting())
 	r.Kill()
-	r.e.Log.Emit(event.Stopped, "program", "registry", "after_ms", time.Since(from).Milliseconds())
+	r.e.Log.Emit(event.Stopped, "program", "registry", "after_ms", plan.Since().Milliseconds())
 }
 
 // Ready tells whether outside calls and sessions are taken.
