Judge: a run that ended with its worker's own node, in the last sixth of its grace

Narrowed to that: sent up to 3 s after the order to the worker's node, ended in the last sixth of its grace or a second later. What ends before, or was sent later, is blamed (three cases).

--- a/internal/stand/witness/leaving.go
+++ b/internal/stand/witness/leaving.go
@@ -150,7 +150,7 @@
 // brokenBy judges a try that ended under an order to its front; cut tells that its
 // connection ended without an answer.
 func (w *Witness) brokenBy(t *Try, p plan, cut, passed bool, late time.Duration) {
-	if !p.hup && w.excused(t, p) {
+	if !p.hup && (w.excused(t, p) || w.ownerEnded(t)) {
 		return
 	}
 	if cut {
@@ -181,6 +181,25 @@
 	return false
 }
 
+// ownerEnded tells the same of a stop of the worker's own node, which alone reaches
+// the worker: the run ended with that node, in the last sixth of its grace.
+func (w *Witness) ownerEnded(t *Try) bool {
+	v := t.givenUp(time.Time{})
+	if v == nil || v.Worker.Machine == t.Front {
+		return false
+	}
+	for _, p := range w.plans {
+		if p.hup || p.machine != v.Worker.Machine || t.From.After(p.from.Add(sentUpTo)) {
+			continue
+		}
+		last, end := p.from.Add(w.B.Grace*5/6), p.from.Add(w.B.Grace+time.Second)
+		if !t.End.Before(last) && !t.End.After(end) && (v.End.IsZero() || !v.End.Before(last)) {
+			return true
+		}
+	}
+	return false
+}
+
 // givenUp finds the worker that was at work on a try when it was answered, or whose
 // run was ended after a time without an answer, for no reason of its own.
 func (t *Try) givenUp(from time.Time) *Visit {
--- a/internal/stand/witness/leaving_test.go
+++ b/internal/stand/witness/leaving_test.go
@@ -129,6 +129,45 @@
 			pass(4100 * time.Millisecond)
 			d.own(t, 504)
 		}},
+		{"an own answer as the worker's node ends, in the last sixth of its grace", "", func(d *day) {
+			t := d.ask()
+			d.doc(2, "s", "u")
+			d.lasts(10 * time.Second)
+			t.Left = 10 * time.Second
+			d.Term("m2")
+			pass(2 * time.Second)
+			d.Term("m1")
+			v := d.run(t, d.l)
+			v.End = time.Time{}
+			pass(3100 * time.Millisecond)
+			d.own(t, 502)
+		}},
+		{"an own answer as the worker's node ends, before the last sixth of its grace", Lost, func(d *day) {
+			t := d.ask()
+			d.doc(2, "s", "u")
+			d.lasts(10 * time.Second)
+			t.Left = 10 * time.Second
+			d.Term("m2")
+			pass(2 * time.Second)
+			d.Term("m1")
+			v := d.run(t, d.l)
+			v.End = time.Time{}
+			pass(2900 * time.Millisecond)
+			d.own(t, 502)
+		}},
+		{"an own answer as the worker's node ends, begun late there", Lost, func(d *day) {
+			d.doc(2, "s", "u")
+			d.lasts(10 * time.Second)
+			d.Term("m2")
+			pass(3100 * time.Millisecond)
+			t := d.ask()
+			t.Left = 10 * time.Second
+			d.Term("m1")
+			v := d.run(t, d.l)
+			v.End = time.Time{}
+			pass(2 * time.Second)
+			d.own(t, 502)
+		}},
 		{"told to end in two lives", Lost, func(d *day) {
 			d.Term("m1")
 			pass(time.Second)
