A registry that ends answers the calls that it can't wait for

Cause: the same as at the nodes: a stop ended while calls were under way, and their connections were closed without an answer (TestShortGrace, whose waiting watch is asked for an answer now, failed in all three parts). Also calls that a node hands to the core knew nothing of its stop. Now: grace.Late ends what a stop can't wait for, at nodes, at their calls to the core and at registries; the contexts of proxy/callerleft.go moved there. After: TestShortGrace and all tests of stops passed.

--- a/internal/grace/grace_test.go
+++ b/internal/grace/grace_test.go
@@ -1,6 +1,7 @@
 package grace
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,3 +31,27 @@
 		}
 	})
 }
+
+// TestLate: what is bound before and after the end of waiting ends with its cause,
+// and what ended by itself keeps its own.
+func TestLate(t *testing.T) {
+	l := NewLate(t.Context())
+	before, stop := l.Bind(t.Context())
+	defer stop()
+	left, leave := context.WithCancel(t.Context())
+	gone, stopGone := l.Bind(left)
+	defer stopGone()
+	leave()
+	<-gone.Done()
+	if before.Err() != nil || IsLate(gone) || context.Cause(gone) != context.Canceled {
+		t.Errorf("before the end: %v, %v", before.Err(), context.Cause(gone))
+	}
+	l.Over()
+	<-before.Done()
+	after, stopAfter := l.Bind(t.Context())
+	defer stopAfter()
+	<-after.Done()
+	if !IsLate(before) || !IsLate(after) || IsLate(gone) {
+		t.Errorf("after the end: %v, %v, %v", context.Cause(before), context.Cause(after), context.Cause(gone))
+	}
+}
--- a/internal/proxy/callerleft.go
+++ b/internal/proxy/callerleft.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 
 	"puffincrank/internal/event"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/wire"
 )
 
@@ -39,7 +39,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		mu.Lock()
 		defer mu.Unlock()
-		ending := errors.Is(context.Cause(ctx), errEnding)
+		ending := grace.IsLate(ctx)
 		if over || !ending && !wire.Abandoned(ctx) {
 			return
 		}
@@ -71,28 +71,13 @@
 	whyEnding = "its node is ending"
 )
 
-// errEnding is why a job's context ends when its front can wait for it no longer.
-// Its caller is still there, so nothing is abandoned by it.
-var errEnding = errors.New("the front is ending")
-
 // jobContext is the context of a job: until its time is up, its caller has left, or
 // a stop of this node can wait for it no longer.
 func (x *Proxy) jobContext(j *job) (ctx context.Context, stop func()) {
-	ctx, over := x.untilLate(j.req.Context())
+	ctx, over := x.late.Bind(j.req.Context())
 	ctx, end := context.WithDeadline(ctx, j.end)
 	return ctx, func() {
 		end()
 		over()
 	}
 }
-
-// untilLate gives a context that ends with another one, or when a stop of this node
-// can wait no longer.
-func (x *Proxy) untilLate(of context.Context) (ctx context.Context, stop func()) {
-	ctx, cancel := context.WithCancelCause(of)
-	heeds := context.AfterFunc(x.late, func() { cancel(errEnding) })
-	return ctx, func() {
-		heeds()
-		cancel(nil)
-	}
-}
--- a/internal/proxy/callerleft_test.go
+++ b/internal/proxy/callerleft_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"puffincrank/internal/grace"
 	"puffincrank/internal/session"
 )
 
@@ -28,7 +29,7 @@
 		}, false},
 		{"a node on its way ends", func(ctx context.Context) context.Context {
 			ctx, stop := context.WithCancelCause(ctx)
-			stop(errEnding)
+			stop(grace.ErrLate)
 			return ctx
 		}, false},
 		{"ended with another cause", func(ctx context.Context) context.Context {
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -185,7 +185,7 @@
 	if !x.load.take(n) {
 		return session.Back{Kind: session.Refused, Why: noRoom, Come: x.load.come(x.P.Beat()).Milliseconds(), Used: -1}, nil
 	}
-	ctx, over := x.untilLate(ctx)
+	ctx, over := x.late.Bind(ctx)
 	defer over()
 	b := x.own(ctx, in)
 	if more := int64(len(in.Body)+len(b.Body)) - n; more > 0 {
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -69,7 +69,9 @@
 	if r.URL.Query().Get("left_ms") != "" {
 		long = x.P.Grace
 	}
-	ctx, end := context.WithTimeout(r.Context(), long)
+	bound, over := x.late.Bind(r.Context())
+	defer over()
+	ctx, end := context.WithTimeout(bound, long)
 	defer end()
 	in := session.Outer{Method: r.Method, URI: r.URL.RequestURI(), Body: body}
 	if end, ok := ctx.Deadline(); ok && app {
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"puffincrank/internal/class"
 	"puffincrank/internal/event"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/nominate"
 	"puffincrank/internal/session"
 	"puffincrank/internal/wire"
@@ -182,7 +182,7 @@
 	if wire.Abandoned(ctx) {
 		return v.refuse(whyLeft)
 	}
-	if errors.Is(context.Cause(ctx), errEnding) {
+	if grace.IsLate(ctx) {
 		return v.refuse(whyEnding)
 	}
 	return time.Now().Before(v.end) || v.refuse("no time left before delivery")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -70,8 +70,7 @@
 	stop        atomic.Pointer[grace.Schedule] // of the stop, once it was told to end
 	boot        string
 	born        time.Time
-	late        context.Context // over when a stop can wait for jobs no longer
-	over        context.CancelFunc
+	late        *grace.Late
 
 	calling    sync.Mutex // one call of a worker at a time; taken before mu
 	lastCalls  map[string]lastCall
@@ -93,7 +92,7 @@
 func New(p props.Props, e env.Env) *Proxy {
 	g := task.New(context.Background()).Pace(e.Pause)
 	x := &Proxy{P: p, e: e, g: g, well: make(chan struct{}), gates: map[string]*gate{}, met: map[string]time.Time{}, tally: map[armKey]*armTally{}, live: map[string]time.Time{}, lastCalls: map[string]lastCall{}, departures: map[string]time.Time{}, kept: map[string]string{}, boot: fresh(), born: time.Now(), say: e.Say}
-	x.late, x.over = context.WithCancel(g.Context())
+	x.late = grace.NewLate(g.Context())
 	if x.say.Name == "" {
 		x.say = tongue.Own
 	}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -52,7 +52,7 @@
 // ends, and so is each front whose attempt is at the own worker. Answers count as
 // given once they are written.
 func (x *Proxy) lastWord(plan *grace.Schedule) {
-	x.over()
+	x.late.Over()
 	ctx, end := context.WithDeadline(x.g.Context(), plan.AnswerUntil())
 	defer end()
 	x.rest(ctx, func() int64 { return x.busy.Load() + x.owned.Load() + x.stay.Active() })
--- a/internal/proxy/unanswered.go
+++ b/internal/proxy/unanswered.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"puffincrank/internal/event"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/session"
 	"puffincrank/internal/wire"
 )
@@ -56,7 +56,7 @@
 	switch {
 	case wire.Abandoned(ctx):
 		return endedByCaller
-	case errors.Is(context.Cause(ctx), errEnding):
+	case grace.IsLate(ctx):
 		return endedByStop
 	case !time.Now().Before(j.end):
 		if j.due.IsZero() || j.end.Before(j.due) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -43,6 +43,7 @@
 	stores *stores
 	routes http.Handler
 	calls  atomic.Int64 // outside calls under way
+	late   *grace.Late  // ends them when a stop can wait no longer
 	pulse  *pulse.Pulse
 	duties []*roleElection
 
@@ -94,6 +95,7 @@
 	var b [6]byte
 	_, _ = rand.Read(b[:])
 	r.self = member.Fellow{Node: p.Node, Start: hex.EncodeToString(b[:]), Role: "registry", Area: p.Area, Inner: p.Inner, Outer: p.Outer}
+	r.late = grace.NewLate(g.Context())
 	r.roll, r.mine = member.NewRoll(p.Node, memberChangesKept), member.NewRoll(p.Node, memberChangesKept)
 	r.roll.Set(p.Node, r.self)
 	r.n = wire.NewNode(wire.Hello{Mesh: p.Mesh, Node: p.Node, Area: p.Area, Role: "registry"}, e, g, p.Frame, p.Jobs, p.Patience())
@@ -211,6 +213,11 @@
 	for r.calls.Load() > 0 && plan.WaitsFor() > 0 {
 		task.Pause(r.g.Context(), r.P.Beat()/10)
 	}
+	// Each that is still under way is told that its outcome is unknown.
+	r.late.Over()
+	for r.calls.Load() > 0 && time.Now().Before(plan.AnswerUntil()) {
+		task.Pause(r.g.Context(), r.P.Beat()/10)
+	}
 	r.n.Leave(r.P.Parting())
 	r.Kill()
 	r.e.Log.Emit(event.Stopped, "program", "registry", "after_ms", plan.Since().Milliseconds())
--- a/internal/registry/routes.go
+++ b/internal/registry/routes.go
@@ -68,7 +68,9 @@
 			outer.Busy(w, "this node is leaving; nothing was done", r.P.Leave)
 			return
 		}
-		next.ServeHTTP(w, req)
+		ctx, over := r.late.Bind(req.Context())
+		defer over()
+		next.ServeHTTP(w, req.WithContext(ctx))
 	})
 }
 
--- a/internal/sim/shortgrace_test.go
+++ b/internal/sim/shortgrace_test.go
@@ -14,7 +14,7 @@
 
 // TestShortGrace: a deployment whose grace is no longer than the time that
 // others have to see a worker leave. Every program ends in its grace, so that
-// none is killed while it holds calls.
+// none is killed while it holds calls, and a call that waits for longer is answered.
 func TestShortGrace(t *testing.T) {
 	for _, c := range []struct{ leave, grace int }{{2000, 6000}, {4000, 4000}, {3000, 1500}} {
 		t.Run(fmt.Sprint(c.leave, " ", c.grace), func(t *testing.T) {
@@ -30,7 +30,11 @@
 					t.Fatal(code, got)
 				}
 				// A call that waits for longer than any grace.
-				f.g.Go("watch", func(context.Context) { f.raw("GET", at, "/puffin/app/watch/g1.?after=1&wait_ms=14000", "") })
+				watched := make(chan int, 1)
+				f.g.Go("watch", func(context.Context) {
+					code, _ := f.raw("GET", at, "/puffin/app/watch/g1.?after=1&wait_ms=14000", "")
+					watched <- code
+				})
 				Wait(100 * time.Millisecond)
 				for name, stop := range map[string]func(){"proxy": f.Nodes[0].Proxy.Stop, "registry": f.Cores[0].Registry.Stop, "store": f.Cores[1].Store.Stop} {
 					from := time.Now()
@@ -39,6 +43,9 @@
 						t.Errorf("a %s ended after %v", name, took)
 					}
 				}
+				if code := <-watched; code == 0 {
+					t.Error("the call that waited was cut off without an answer")
+				}
 			})
 		})
 	}
