Soak: planned work by itself, runs of seconds, stops at once, series of changes

Cause: with a kill or a freeze somewhere nearly all the time the judge says nothing of what a stop cuts off, and no request of the soak lasted long enough to be met by the end of a grace: the soak could not have seen the incident. Now: the first half of each soak has planned work only (stops in turn and at once, SIGHUP before and in them, workers that leave, series of 5 to 24 changes, races); two kinds of requests are at work for 2.8 and 3.5 s on the mean.

--- a/internal/fleetrun/soak/coretroubles.go
+++ b/internal/fleetrun/soak/coretroubles.go
@@ -117,6 +117,14 @@
 
 func (f *fleet) change(r *rand.Rand) { f.op.Send(f.g.Context(), f.next(r), "", "") }
 
+// changes sends one change after the other.
+func (f *fleet) changes(r *rand.Rand) {
+	for range 5 + r.IntN(20) {
+		f.change(r)
+		pause(span(r, time.Millisecond, 150*time.Millisecond))
+	}
+}
+
 func (f *fleet) race(r *rand.Rand) {
 	one, two := f.next(r), f.next(r)
 	over := make(chan struct{})
--- a/internal/fleetrun/soak/deployment.go
+++ b/internal/fleetrun/soak/deployment.go
@@ -28,7 +28,7 @@
 }
 
 // lines are the kinds of requests: short reads, long ones that are still at work
-// when a caller leaves, what may run but once, and uploads.
+// when a caller leaves or a node is told to end, what may run but once, and uploads.
 func lines(size int) []*play.Line {
 	scale := min(float64(size)*ratePerMachine, rateAtMost) / ratePerMachine
 	check := &play.Line{Kind: "check", Host: "soak.example", Method: "GET", Prefix: "/check/", Repeat: true, Work: 15 * time.Millisecond, Aim: 100 * time.Millisecond, Left: 500 * time.Millisecond, Most: 500 * time.Millisecond, Back: 80}
@@ -39,6 +39,11 @@
 		{Kind: "lend", Host: "soak.example", Method: "POST", Prefix: "/lend/", Rate: 2 * scale, Work: 80 * time.Millisecond, Aim: 400 * time.Millisecond, Left: 2 * time.Second, Most: 2 * time.Second, Size: 200, Back: 200, Further: 1,
 			Calls: []play.Call{{Line: check, Share: 0.2}}},
 		{Kind: "scan", Host: "soak.example", Method: "PUT", Prefix: "/scan/", Rate: 0.5 * scale, Work: 70 * time.Millisecond, Aim: 500 * time.Millisecond, Left: 3 * time.Second, Most: 3 * time.Second, Size: 30000, Back: 100, Further: 1},
+		// At work for seconds, so that an order to end meets runs at any moment of its
+		// grace, and some that outlast it.
+		{Kind: "survey", Host: "soak.example", Method: "GET", Prefix: "/survey/", Repeat: true, Rate: 0.25 * scale, Work: 3500 * time.Millisecond, Aim: 8 * time.Second, Left: 12 * time.Second, Most: 12 * time.Second, Back: 1000, Further: 1},
+		{Kind: "plan", Host: "soak.example", Method: "POST", Prefix: "/plan/", Rate: 0.25 * scale, Work: 2800 * time.Millisecond, Aim: 8 * time.Second, Left: 15 * time.Second, Most: 15 * time.Second, Size: 300, Back: 300, Further: 1,
+			Calls: []play.Call{{Line: check, Share: 0.5}}},
 		check,
 	}
 }
@@ -47,7 +52,7 @@
 var serves = map[string]struct {
 	service, repeat string
 	rank            int
-}{"read": {"pages", "safe", 1}, "long": {"pages", "safe", 2}, "lend": {"lending", "never", 0}, "scan": {"scans", "upload", 2}, "check": {"scans", "safe", 1}}
+}{"read": {"pages", "safe", 1}, "long": {"pages", "safe", 2}, "lend": {"lending", "never", 0}, "scan": {"scans", "upload", 2}, "survey": {"pages", "safe", 2}, "plan": {"lending", "never", 1}, "check": {"scans", "safe", 1}}
 
 // firstDraft is the document that all begins with.
 func firstDraft(all []*play.Line) *play.Draft {
--- a/internal/fleetrun/soak/nodetroubles.go
+++ b/internal/fleetrun/soak/nodetroubles.go
@@ -25,6 +25,40 @@
 	}
 }
 
+// rollAtOnce stops several nodes whose stops overlap, some told to read their settings
+// right before or meanwhile.
+func (f *fleet) rollAtOnce(r *rand.Rand) {
+	var over sync.WaitGroup
+	for range 2 + r.IntN(1+len(f.machines)/6) {
+		own := rand.New(rand.NewPCG(r.Uint64(), 94))
+		over.Add(1)
+		f.g.Go("roll-at-once", func(context.Context) {
+			defer over.Done()
+			f.with(own, witness.Planned+"roll", func(m *machine) { f.stopBesideSettings(m, own) })
+		})
+		pause(span(r, time.Millisecond, 700*time.Millisecond))
+	}
+	over.Wait()
+}
+
+// stopBesideSettings stops a node that is told to read its settings before, meanwhile
+// or not at all.
+func (f *fleet) stopBesideSettings(m *machine, r *rand.Rand) {
+	when := r.IntN(3)
+	if when == 0 {
+		f.reread(m)
+		pause(span(r, time.Millisecond, 300*time.Millisecond))
+	}
+	if when == 1 {
+		late := span(r, time.Millisecond, 2*time.Second)
+		f.g.Go("settings-in-stop", func(context.Context) {
+			pause(late)
+			m.node.Signal(syscall.SIGHUP)
+		})
+	}
+	f.stopNode(m, r)
+}
+
 func (f *fleet) killNode(r *rand.Rand) {
 	f.with(r, "killed", func(m *machine) { f.crash(m, r) })
 }
--- a/internal/fleetrun/soak/run.go
+++ b/internal/fleetrun/soak/run.go
@@ -149,13 +149,29 @@
 	f.op.Read(context.Background(), 5*time.Second, true)
 	f.apps.Finish(context.Background())
 	// What is under way ends, and connections that idle are closed.
-	pause(f.lines[1].Left + time.Second)
+	until(f.longest()+time.Second, func() bool { return f.underWay() == 0 })
 	for _, m := range f.machines {
 		m.client.Close()
 	}
 	pause(ways.Idle + time.Second)
 }
 
+// longest is the most time that a caller waits.
+func (f *fleet) longest() (out time.Duration) {
+	for _, l := range f.lines {
+		out = max(out, l.Left)
+	}
+	return out
+}
+
+// underWay counts the requests that have no answer yet.
+func (f *fleet) underWay() (n int) {
+	for _, m := range f.machines {
+		n += m.client.Under()
+	}
+	return n
+}
+
 // report prints what was seen.
 func (f *fleet) report(before, after holdings) bool {
 	p := func(form string, args ...any) { fmt.Fprintf(f.o.Out, form+"\n", args...) }
--- a/internal/fleetrun/soak/troubles.go
+++ b/internal/fleetrun/soak/troubles.go
@@ -44,14 +44,45 @@
 	{"all of the core is killed", true, (*fleet).killAllCore},
 }
 
+// plannedWork is what operators and the platform do in order: it may break off nothing.
+var plannedWork = []trouble{
+	{"nodes are stopped in turn", false, (*fleet).roll},
+	{"nodes are stopped in turn", false, (*fleet).roll},
+	{"several nodes are stopped at once", false, (*fleet).rollAtOnce},
+	{"several nodes are stopped at once", false, (*fleet).rollAtOnce},
+	{"settings are read again, in series", false, (*fleet).hangup},
+	{"a worker leaves", false, (*fleet).workerLeaves},
+	{"a series of changes", false, (*fleet).changes},
+	{"a series of changes", false, (*fleet).changes},
+	{"two operators change the configuration", false, (*fleet).race},
+	{"an older configuration comes again", false, func(f *fleet, _ *rand.Rand) { f.op.Again(f.g.Context()) }},
+	{"more load", false, (*fleet).pressOn},
+}
+
+// plannedPart is the part of a soak in which only planned work is done, as one over
+// it: with a kill or a freeze near, what a stop cuts off is not judged.
+const plannedPart = 2
+
 // troubles draws one after the other until the time is over, and waits for the last
 // to end. They overlap; of the core's no two do.
 func (f *fleet) troubles() {
 	r := rand.New(rand.NewPCG(f.o.Seed, 91))
+	planned := f.o.Long / plannedPart
+	f.draw(r, plannedWork, planned, 50*time.Millisecond, 500*time.Millisecond)
+	f.say("planned work is over")
+	f.draw(r, list, f.o.Long-planned, 150*time.Millisecond, 1200*time.Millisecond)
+	for _, m := range f.machines {
+		m.client.Quits(0.02)
+	}
+}
+
+// draw begins troubles of a list for a time, with a pause between two, and waits for
+// the last to end.
+func (f *fleet) draw(r *rand.Rand, of []trouble, long, least, more time.Duration) {
 	var over sync.WaitGroup
 	core := make(chan struct{}, 1)
-	for from := time.Now(); time.Since(from) < f.o.Long; pause(span(r, 150*time.Millisecond, 1200*time.Millisecond)) {
-		t, own := list[r.IntN(len(list))], rand.New(rand.NewPCG(r.Uint64(), 92))
+	for from := time.Now(); time.Since(from) < long; pause(span(r, least, more)) {
+		t, own := of[r.IntN(len(of))], rand.New(rand.NewPCG(r.Uint64(), 92))
 		over.Add(1)
 		f.g.Go("trouble", func(context.Context) {
 			defer over.Done()
@@ -68,9 +99,6 @@
 		})
 	}
 	over.Wait()
-	for _, m := range f.machines {
-		m.client.Quits(0.02)
-	}
 }
 
 // take picks a machine that no other trouble has in hand; nil if there is none, or
