--- a/internal/fleetrun/soak/deployment.go
+++ b/internal/fleetrun/soak/deployment.go
@@ -41,8 +41,8 @@
 		{Kind: "scan", Host: "soak.example", Method: "PUT", Prefix: "/scan/", Rate: 0.5 * scale, Work: 70 * time.Millisecond, Aim: 500 * time.Millisecond, Left: 3 * time.Second, Most: 3 * time.Second, Size: 30000, Back: 100, Further: 1},
 		// At work for seconds, so that an order to end meets runs at any moment of its
 		// grace, and some that outlast it.
-		{Kind: "survey", Host: "soak.example", Method: "GET", Prefix: "/survey/", Repeat: true, Rate: 0.25 * scale, Work: 3500 * time.Millisecond, Aim: 8 * time.Second, Left: 12 * time.Second, Most: 12 * time.Second, Back: 1000, Further: 1},
-		{Kind: "plan", Host: "soak.example", Method: "POST", Prefix: "/plan/", Rate: 0.25 * scale, Work: 2800 * time.Millisecond, Aim: 8 * time.Second, Left: 15 * time.Second, Most: 15 * time.Second, Size: 300, Back: 300, Further: 1,
+		{Kind: "survey", Host: "soak.example", Method: "GET", Prefix: "/survey/", Repeat: true, Rate: 0.9 * scale, Work: 3500 * time.Millisecond, Aim: 8 * time.Second, Left: 12 * time.Second, Most: 12 * time.Second, Back: 1000, Further: 1},
+		{Kind: "plan", Host: "soak.example", Method: "POST", Prefix: "/plan/", Rate: 0.6 * scale, Work: 2800 * time.Millisecond, Aim: 8 * time.Second, Left: 15 * time.Second, Most: 15 * time.Second, Size: 300, Back: 300, Further: 1,
 			Calls: []play.Call{{Line: check, Share: 0.5}}},
 		check,
 	}
