Names of what bounds a stop and a wait; an attempt ended by a stop says so

An attempt at another node that ended with the stop of its front said 'no receipt from the owner', and took the owner for unreachable; it says that its node is ending.

--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -56,7 +56,7 @@
 	{"own-stop-unseen", Planned, "internal/proxy/ending.go", "		if own := plan.WaitsFor() - 2*need; !ends || own < wait {", "		if own := plan.WaitsFor(); !ends || own < wait {", "sim", "TestAnswersInStop"},
 	{"ends-before-last-sixth", Planned, "internal/grace/grace.go", "return s.AnswerUntil().Add(-s.length / answerPart) }", "return s.AnswerUntil().Add(-s.length / answerPart * 2) }", "grace", "TestSchedule"},
 	{"jobs-not-awaited", Planned, "internal/proxy/stop.go", "	for under() > 0 && ctx.Err() == nil {", "	for under() > 1<<40 && ctx.Err() == nil {", "sim", "TestLongStop"},
-	{"shut-at-once", Planned, "internal/proxy/stop.go", "	task.Pause(ctx, x.P.Leave*3/4)\n	x.left.Store(true)\n	x.leaveGates()\n	task.Pause(ctx, x.P.Leave/2)\n", "	x.left.Store(true)\n	x.leaveGates()\n", "sim", "TestRoll"},
+	{"shut-at-once", Planned, "internal/proxy/stop.go", "	task.Pause(ctx, x.P.Leave*3/4)\n	x.left.Store(true)\n	x.drainWorkers()\n	task.Pause(ctx, x.P.Leave/2)\n", "	x.left.Store(true)\n	x.drainWorkers()\n", "sim", "TestRoll"},
 	{"no-goodbye", Planned, "internal/wire/bye.go", "func (n *Node) Leave(long time.Duration) {\n", "func (n *Node) Leave(long time.Duration) {\n	if long > 0 {\n		return\n	}\n", "wire", "TestGoodbye"},
 
 	{"one-lane", Passing, "internal/proxy/steps.go", "	ctx = wire.Lane(ctx, x.lane(j))\n", "	ctx = wire.Lane(ctx, wire.Jobs)\n", "sim", "TestThinLinks"},
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -12,10 +12,10 @@
 	"puffincrank/internal/rules"
 )
 
-// TestKeeps: a part of a job's time is kept for a repeat, and its attempt ended for
+// TestReservesRetry: a part of a job's time is kept for a repeat, and its attempt ended for
 // that, only where a repeat can follow: at another worker, within what is kept and
 // within the bound on repeats, and not around a planned stop.
-func TestKeeps(t *testing.T) {
+func TestReservesRetry(t *testing.T) {
 	const left = time.Second
 	for _, c := range []struct {
 		name string
@@ -43,7 +43,7 @@
 				x.again.Nodes(1)
 				j := &job{path: &rules.Path{Name: "p"}, arm: &rules.Arm{Safe: true, Tries: 2}, service: "s", tried: map[string]bool{"w": true}, sends: 1, known: 3}
 				c.do(x, j)
-				if got := x.keeps(j, left); got != c.want {
+				if got := x.reservesRetry(j, left); got != c.want {
 					t.Errorf("kept: %v", got)
 				}
 			})
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -109,7 +109,7 @@
 		x.wrong(w, code, why)
 		return
 	}
-	if come, soon := x.stopTooSoon(j); soon {
+	if come, soon := x.outlastsStop(j); soon {
 		x.busyNow(w, "this node ends before the job's time is over", come)
 		return
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -169,13 +169,13 @@
 	return true
 }
 
-func (x *Proxy) leaveGates() {
+func (x *Proxy) drainWorkers() {
 	for _, g := range x.allGates() {
 		x.drain(g)
 	}
 }
 
-func (x *Proxy) signOff() {
+func (x *Proxy) removeWorkers() {
 	for _, g := range x.allGates() {
 		x.drop(g, "its node stopped")
 	}
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -203,7 +203,7 @@
 	x.hold = in.On
 	x.mu.Unlock()
 	if in.On {
-		x.leaveGates()
+		x.drainWorkers()
 	}
 	return x.status(), nil
 }
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -204,10 +204,10 @@
 func (x *Proxy) admit(ctx context.Context, v *visit) bool {
 	// Jobs that hang say nothing by themselves; those that come find them.
 	x.doubt(v.gate)
-	if !x.goes(v) {
+	if !x.endsInTime(v) {
 		return false
 	}
-	v.ask = class.Ask{Class: v.in.Class, Wait: x.patience(v), Inner: x.kin.inner(v.in.Path), Rank: v.rank()}
+	v.ask = class.Ask{Class: v.in.Class, Wait: x.queueWait(v), Inner: x.kin.inner(v.in.Path), Rank: v.rank()}
 	if v.in.Rush {
 		v.ask.Wait = 0
 	}
@@ -220,7 +220,7 @@
 	v.run = v.gate.own.Start(x.pick.Usual(v.in.Path))
 	// The wait may have been long: all that could have changed is looked at
 	// once more right before the job goes out.
-	if !x.timely(ctx, v) || !x.goes(v) {
+	if !x.timely(ctx, v) || !x.endsInTime(v) {
 		return false
 	}
 	return x.sure(ctx, v) && x.checkRules(ctx, v)
--- a/internal/proxy/rush_test.go
+++ b/internal/proxy/rush_test.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// TestStays: the first send has no bound of its own; later ones have what is left
+// TestBoundRequeue: the first send has no bound of its own; later ones have what is left
 // of half of the job's time, and then none waits at all.
-func TestStays(t *testing.T) {
+func TestBoundRequeue(t *testing.T) {
 	now := time.Now()
 	for _, c := range []struct {
 		waited time.Duration
@@ -34,15 +34,15 @@
 	}{{0, 0, false}, {time.Second, 3500, false}, {4 * time.Second, 500, false}, {4500 * time.Millisecond, 0, true}, {6 * time.Second, 0, true}} {
 		j := &job{from: now, end: now.Add(9 * time.Second), waited: c.waited}
 		var h session.Hand
-		j.stays(&h)
+		j.boundRequeue(&h)
 		if h.Stay != c.stay || h.Rush != c.rush {
 			t.Errorf("waited %v: %d ms, rush %v", c.waited, h.Stay, h.Rush)
 		}
 		// The owner keeps to it.
 		x := &Proxy{}
 		v := &visit{in: session.Hand{Path: "p", Aim: 9000, Stay: h.Stay}, end: now.Add(9 * time.Second), gate: newGate("w", "s", "", 1, time.Second)}
-		if most := time.Duration(c.stay) * time.Millisecond; most > 0 && x.patience(v) > most {
-			t.Errorf("it may wait %v, and waits %v", most, x.patience(v))
+		if most := time.Duration(c.stay) * time.Millisecond; most > 0 && x.queueWait(v) > most {
+			t.Errorf("it may wait %v, and waits %v", most, x.queueWait(v))
 		}
 	}
 }
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -7,6 +7,7 @@
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/fault"
+	"puffincrank/internal/grace"
 	"puffincrank/internal/nominate"
 	"puffincrank/internal/ormap"
 	"puffincrank/internal/replica"
@@ -121,13 +122,13 @@
 	// A job that may be sent again keeps some time for it, if a repeat is to
 	// be had at all. Bulk that was let in needs its time to come through, and is
 	// let in only if it will.
-	if x.keeps(j, left) {
-		left = first(left)
+	if x.reservesRetry(j, left) {
+		left = firstAttempt(left)
 	}
 	h := session.Hand{Job: j.id, Attempt: fmt.Sprintf("%s.%d", j.id, j.sends), Path: j.path.Name, Arm: j.arm.Name,
 		Version: j.rules.Version, Service: j.service, Class: j.arm.Class, Worker: j.entry.Worker,
 		Host: j.req.Host, Method: j.req.Method, URI: j.req.URL.RequestURI(), Head: x.passed(j.req.Header), Body: j.body, Left: left.Milliseconds(),
-		Said: j.said, Caller: x.set().Service, Again: j.came > 0, Part: j.part, Word: j.word, Wait: x.bears().Milliseconds(), Rest: x.rests(), Safe: j.arm.Safe,
+		Said: j.said, Caller: x.set().Service, Again: j.came > 0, Part: j.part, Word: j.word, Wait: x.queueWaitBound().Milliseconds(), Rest: x.waitLeft(), Safe: j.arm.Safe,
 		Aim: time.Until(j.first.Add(j.arm.Aim)).Milliseconds(), Seen: j.first.Before(j.from)}
 	if x.say.Keeps {
 		h.URI = origin(j.req)
@@ -138,7 +139,7 @@
 		return next
 	}
 	h.Rush = x.rushes(j)
-	j.stays(&h)
+	j.boundRequeue(&h)
 	from := time.Now()
 	ctx = wire.Lane(ctx, x.lane(j))
 	if j.entry.Owner == x.P.Node {
@@ -186,7 +187,7 @@
 	}
 	// A large body waits for the link no longer than for a slot.
 	if j.arm.Bulk != "" {
-		ctx = wire.Due(ctx, time.Now().Add(x.bears()))
+		ctx = wire.Due(ctx, time.Now().Add(x.queueWaitBound()))
 	}
 	b, err := wire.Ask[session.Back](ctx, x.n, j.entry.Inner, "job.hand", h)
 	come, full := wire.Full(err)
@@ -200,6 +201,8 @@
 	case fault.Is(err, fault.Unsent), fault.Is(err, fault.Refused):
 		x.pick.Shun(j.entry.Owner, x.P.Change/2)
 		return session.Back{Kind: session.Refused, Why: "owner can't be reached", Come: (x.P.Change / 2).Milliseconds(), Used: -1}
+	case grace.IsLate(ctx):
+		return session.Back{Kind: session.Unknown, Why: whyEnding, Used: -1}
 	default:
 		x.pick.Shun(j.entry.Owner, x.P.Change/2)
 		return session.Back{Kind: session.Unknown, Why: noReceipt, Late: ctx.Err() != nil, Used: -1}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -30,7 +30,7 @@
 	// fronts have seen it when this node goes.
 	task.Pause(ctx, x.P.Leave*3/4)
 	x.left.Store(true)
-	x.leaveGates()
+	x.drainWorkers()
 	task.Pause(ctx, x.P.Leave/2)
 	x.rest(ctx, x.owned.Load)
 	// From here on an answer ends its connection, and idle ones end now: no
@@ -38,8 +38,8 @@
 	x.door.SetKeepAlivesEnabled(false)
 	x.life.Fire("shut")
 	x.rest(ctx, func() int64 { return x.busy.Load() + x.owned.Load() + x.n.Queued() })
-	x.lastWord(plan)
-	x.signOff()
+	x.answerRest(plan)
+	x.removeWorkers()
 	x.touch.Bye()
 	x.n.Leave(x.P.Parting())
 	x.life.Fire("end")
@@ -47,11 +47,11 @@
 	x.e.Log.Emit(event.Stopped, "program", "proxy", "after_ms", plan.Since().Milliseconds())
 }
 
-// lastWord ends what can't be waited for any longer: each caller is told that the
+// answerRest ends what can't be waited for any longer: each caller is told that the
 // outcome is unknown, or that it did not run, rather than that its connection just
 // ends, and so is each front whose attempt is at the own worker. Answers count as
 // given once they are written.
-func (x *Proxy) lastWord(plan *grace.Schedule) {
+func (x *Proxy) answerRest(plan *grace.Schedule) {
 	x.late.Over()
 	ctx, end := context.WithDeadline(x.g.Context(), plan.AnswerUntil())
 	defer end()
@@ -68,10 +68,10 @@
 	}
 }
 
-// stopTooSoon tells that a job is not begun, since this node was told to end a while
+// outlastsStop tells that a job is not begun, since this node was told to end a while
 // ago and may be gone before the job's time is over: it would be broken off at work.
 // Its caller may come back when the node has started again.
-func (x *Proxy) stopTooSoon(j *job) (come time.Duration, soon bool) {
+func (x *Proxy) outlastsStop(j *job) (come time.Duration, soon bool) {
 	plan := x.stop.Load()
 	if plan == nil || j.from.Before(plan.LongUntil()) || !j.end.After(plan.WaitUntil()) {
 		return 0, false
