--- a/internal/stand/play/work.go
+++ b/internal/stand/play/work.go
@@ -63,13 +63,15 @@
 	k, h := s.k, s.req.Header
 	s.id = h.Get(k.say.Attempt)
 	s.end = time.Now().Add(time.Minute)
+	var given time.Duration
 	if ms, err := strconv.ParseFloat(h.Get(k.say.Left), 64); err == nil {
-		s.end = time.Now().Add(time.Duration(ms * float64(time.Millisecond)))
+		given = time.Duration(ms * float64(time.Millisecond))
+		s.end = time.Now().Add(given)
 	}
 	if s.req.Method == http.MethodGet && s.req.URL.Path == k.W.Fitness && s.id == "" {
 		return s.fitness()
 	}
-	s.v = &witness.Visit{Worker: k.Worker, Method: s.req.Method, URI: s.req.RequestURI, From: h.Get(k.say.Caller), To: h.Get(k.say.Expect), Body: witness.BodyOf(s.body)}
+	s.v = &witness.Visit{Worker: k.Worker, Method: s.req.Method, URI: s.req.RequestURI, From: h.Get(k.say.Caller), To: h.Get(k.say.Expect), Body: witness.BodyOf(s.body), Given: given}
 	k.wit.Arrive(s.v, s.id)
 	switch {
 	case s.id == "":
--- a/internal/stand/witness/day_test.go
+++ b/internal/stand/witness/day_test.go
@@ -60,7 +60,7 @@
 
 // run has a worker take a try up and answer it.
 func (d *day) run(t *Try, k *Worker) *Visit {
-	v := &Visit{Worker: k, Method: t.Method, URI: t.URI, Body: t.Body, From: d.serves[t.Front]}
+	v := &Visit{Worker: k, Method: t.Method, URI: t.URI, Body: t.Body, From: d.serves[t.Front], Given: t.Left - time.Since(t.From)}
 	d.Arrive(v, t.ID)
 	v.Start = time.Now()
 	pass(10 * time.Millisecond)
@@ -121,7 +121,7 @@
 // blamed, and no rule is without a breach here.
 func TestBreaches(t *testing.T) {
 	caught := map[string]bool{}
-	for _, list := range [][]breach{answers(), docs(), leaving(), gone(), coords(), budgets()} {
+	for _, list := range [][]breach{answers(), docs(), leaving(), times(), gone(), coords(), budgets()} {
 		judge(t, list)
 		for _, b := range list {
 			caught[b.rule] = true
--- a/internal/stand/witness/witness.go
+++ b/internal/stand/witness/witness.go
@@ -99,8 +99,9 @@
 	Worker                *Worker
 	Method, URI, From, To string // To: whom it was meant for; From: the service named as caller
 	Body                  Body
-	At, Start, End        time.Time // Start is zero unless the worker took it up
-	Declined              int       // the status with which it was turned away
+	At, Start, End        time.Time     // Start is zero unless the worker took it up
+	Given                 time.Duration // what it was told to have left; 0: nothing
+	Declined              int           // the status with which it was turned away
 	Status                int
 	Stamp                 string
 	Gave                  Body
