Judge: an answer as the worker's node ends is held against the run that it replaces

Now: the run that the answer stands for. A connection that is cut as the worker's node ends is blamed: the front could have answered. Two cases; the first fails with the judge of before.

--- a/internal/stand/witness/leaving.go
+++ b/internal/stand/witness/leaving.go
@@ -150,7 +150,7 @@
 // brokenBy judges a try that ended under an order to its front; cut tells that its
 // connection ended without an answer.
 func (w *Witness) brokenBy(t *Try, p plan, cut, passed bool, late time.Duration) {
-	if !p.hup && (w.excused(t, p) || w.ownerEnded(t)) {
+	if !p.hup && w.excused(t, p) {
 		return
 	}
 	if cut {
@@ -159,7 +159,7 @@
 	}
 	// After the order to end an answer of the mesh's own in the place of a worker's
 	// comes to the same, whether the worker goes on or was broken off before.
-	if v := t.givenUp(p.from); !p.hup && v != nil && t.own() && w.until(t).After(t.End) {
+	if v := t.givenUp(p.from); !p.hup && v != nil && t.own() && w.until(t).After(t.End) && !w.ownerEnded(t, v) {
 		w.blame(Lost, "%s at %s got %d of the mesh's own at %s, %v after the order to end, while %s was at work on it since %s; it came at %s and had until %s",
 			t.ID, t.Front, t.Got.Status, stamp(t.End), t.End.Sub(p.from), v.Worker.Name, stamp(v.Start), stamp(t.From), stamp(w.until(t)))
 	}
@@ -181,11 +181,11 @@
 	return false
 }
 
-// ownerEnded tells the same of a stop of the worker's own node, which alone reaches
-// the worker: the run ended with that node, in the last sixth of its grace.
-func (w *Witness) ownerEnded(t *Try) bool {
-	v := t.givenUp(time.Time{})
-	if v == nil || v.Worker.Machine == t.Front {
+// ownerEnded tells the same of an answer that came as the node beside the worker
+// ended, which alone reaches it: the run ended with that node, in the last sixth of
+// its grace.
+func (w *Witness) ownerEnded(t *Try, v *Visit) bool {
+	if v.Worker.Machine == t.Front {
 		return false
 	}
 	for _, p := range w.plans {
--- a/internal/stand/witness/leaving_test.go
+++ b/internal/stand/witness/leaving_test.go
@@ -155,6 +155,38 @@
 			pass(2900 * time.Millisecond)
 			d.own(t, 502)
 		}},
+		{"an own answer as the worker's node ends a second time, a first run ended with it before", "", func(d *day) {
+			d.doc(2, "s", "u")
+			d.lasts(20 * time.Second)
+			t := d.ask()
+			t.Left, t.Repeat = 20*time.Second, true
+			d.Term("m2")
+			d.run(t, d.l)
+			pass(5100 * time.Millisecond)
+			first := t.Visits[0]
+			first.Status, first.Stamp, first.End = 0, "", time.Now()
+			d.Lives("m2")
+			d.Term("m2")
+			pass(time.Second)
+			d.Term("m1")
+			v := d.run(t, d.l)
+			v.End = time.Time{}
+			pass(4200 * time.Millisecond)
+			d.own(t, 502)
+		}},
+		{"cut off as the worker's node ends", Lost, func(d *day) {
+			t := d.ask()
+			d.doc(2, "s", "u")
+			d.lasts(10 * time.Second)
+			t.Left = 10 * time.Second
+			d.Term("m2")
+			pass(2 * time.Second)
+			d.Term("m1")
+			v := d.run(t, d.l)
+			v.End = time.Time{}
+			pass(3100 * time.Millisecond)
+			d.cut(t)
+		}},
 		{"an own answer as the worker's node ends, begun late there", Lost, func(d *day) {
 			d.doc(2, "s", "u")
 			d.lasts(10 * time.Second)
