Failing test: a node that has just started begins runs for others in its stop

Cause: how long runs take is known by the node beside the worker alone, from runs that ended there; right after its start it knows nothing, and takes any run for short.

--- a/internal/sim/ownstop_test.go
+++ b/internal/sim/ownstop_test.go
@@ -163,3 +163,34 @@
 		<-over
 	})
 }
+
+// TestFreshNodeInStop: a node that has just started, and has seen no run end, is told to
+// end. It begins no run for others that may outlast it, since it can't tell how long
+// they take; others have them.
+//
+// It begins them: one was begun 1.13 s after the order and ended with the node 4.08 s
+// later, while another node could have had it.
+func TestFreshNodeInStop(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f, line := stopFleet(t, 454, 20*time.Second)
+		defer f.Stop()
+		f.Start()
+		own := f.ofService("pages")
+		front := f.other("pages")
+		// So that the node has to wait.
+		ended := make(chan []stand.Call, 1)
+		f.g.Go("before", func(context.Context) { ended <- f.atFront(front, line, 8) })
+		Wait(time.Second)
+		over := make(chan struct{})
+		f.g.Go("stop", func(context.Context) { own.Proxy.Stop(); close(over) })
+		Wait(200 * time.Millisecond)
+		ran := own.Worker.Ran()
+		f.atFront(front, line, 12)
+		if n := own.Worker.Ran() - ran; n > 0 {
+			t.Errorf("%d runs were begun for others", n)
+		}
+		<-ended
+		<-over
+	})
+}
--- a/internal/stand/witness/witness.go
+++ b/internal/stand/witness/witness.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"hash/maphash"
 	"sync"
 	"time"
 )
@@ -45,17 +44,6 @@
 	Change: 2 * time.Second, Back: 250 * time.Millisecond, Stretch: 5 * time.Second, Ack: 4 * time.Second, Window: 10 * time.Second,
 	Return: 15 * time.Second, Hist: 20 * time.Second, Frees: 1500 * time.Millisecond, Share: 0.2, Allow: 60}
 
-// Body is what a body is known by.
-type Body struct {
-	Size int
-	Sum  uint64
-}
-
-var salt = maphash.MakeSeed()
-
-// BodyOf sums a body up.
-func BodyOf(b []byte) Body { return Body{len(b), maphash.Bytes(salt, b)} }
-
 // Answer is what came back to a client on its socket.
 type Answer struct {
 	Status       int    // 0: no answer
