--- a/internal/fleetrun/soak/run.go
+++ b/internal/fleetrun/soak/run.go
@@ -199,10 +199,10 @@
 	for _, n := range names {
 		p("  %s: %d", n, tally[n])
 	}
-	p("\n| program | descriptors at rest | after | goroutines at rest | after | MB at rest | after |\n| --- | --- | --- | --- | --- | --- | --- |")
+	p("\n| program | descriptors at rest | after | links at rest | after | goroutines at rest | after | MB at rest | after |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, program := range programs {
 		a, b := before[program], after[program]
-		p("| %s | %d | %d | %d | %d | %d | %d |", program, a.files, b.files, a.routines, b.routines, a.memory>>20, b.memory>>20)
+		p("| %s | %d | %d | %d | %d | %d | %d | %d | %d |", program, a.files, b.files, a.links, b.links, a.routines, b.routines, a.memory>>20, b.memory>>20)
 	}
 	ok := len(bad) == 0 && len(f.wrong) == 0
 	p("\nseed %d: %s", f.o.Seed, map[bool]string{true: "nothing wrong", false: "FAILED"}[ok])
--- a/internal/fleetrun/soak/soak_test.go
+++ b/internal/fleetrun/soak/soak_test.go
@@ -64,18 +64,19 @@
 // TestCompare: what a process holds too much of after a soak is blamed, and what it
 // had learned is not.
 func TestCompare(t *testing.T) {
-	at := holding{files: 40, routines: 60, memory: 30 << 20}
+	at := holding{files: 20, links: 20, routines: 60, memory: 30 << 20}
 	for _, c := range []struct {
 		name  string
 		after holding
 		wrong int
 	}{
 		{"the same", at, 0},
-		{"a little more", holding{100, 200, 100 << 20}, 0},
-		{"descriptors", holding{200, 60, 30 << 20}, 1},
-		{"goroutines", holding{40, 500, 30 << 20}, 1},
-		{"memory", holding{40, 60, 300 << 20}, 1},
-		{"all of them", holding{200, 500, 300 << 20}, 3},
+		{"a little more", holding{75, 30, 200, 100 << 20}, 0},
+		{"descriptors", holding{90, 20, 60, 30 << 20}, 1},
+		{"links", holding{20, 40, 60, 30 << 20}, 1},
+		{"goroutines", holding{20, 20, 500, 30 << 20}, 1},
+		{"memory", holding{20, 20, 60, 300 << 20}, 1},
+		{"all of them", holding{90, 40, 500, 300 << 20}, 4},
 	} {
 		f := newFleet(Options{Size: 6, Out: &bytes.Buffer{}, Dir: t.TempDir(), Net: "127.0"})
 		f.compare(holdings{"proxy": at}, holdings{"proxy": c.after})
