--- a/internal/grace/grace.go
+++ b/internal/grace/grace.go
@@ -9,7 +9,7 @@
 const (
 	exitPart     = 20 // kept for the end of the process on a busy processor
 	answerPart   = 20 // for writing the answers to what could not be waited for
-	longPart     = 12 // longPart fives of it: see LongUntil
+	longPart     = 12 // with longFraction: long work is begun in the first five twelfths
 	longFraction = 5
 )
 
