Sight: which node lost a run, when it had its order, and which links end under calls

Event 609 named the last worker asked, not the one whose run was lost: a front told "its node is ending" of a node whose own order came 5.66 s later. It names the worker and node of the lost attempt now, how long ago that node had its order (owner_stop_ms, told in the answer), and what was said of the newest attempt after it. Event 204 tells of each link that ends with calls under way: why, and how many calls of either end that concerns.

No decision is changed.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -15,6 +15,7 @@
 	BadLink       = Kind{201, "bad-link", "a link broke the frame or hello rules and was closed", true}
 	Unspoken      = Kind{202, "unspoken", "a message kind is not known here and was refused by name", true}
 	Mute          = Kind{203, "mute-link", "nothing came in on a link under calls, not even after a ping; it was ended", true}
+	LinkEnded     = Kind{204, "link-ended", "a link ended with calls under way: why, how many of this end waited and how many of the other were at work", true}
 	Founded       = Kind{301, "founded", "the store was founded", false}
 	Promised      = Kind{302, "promised", "a ballot was promised durably", false}
 	Damaged       = Kind{303, "damaged", "a stored file is damaged and was put aside", true}
@@ -68,7 +69,7 @@
 )
 
 // Catalogue lists every kind in order.
-var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, BadLink, Unspoken, Mute,
+var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, BadLink, Unspoken, Mute, LinkEnded,
 	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall, StateLarge, SnapshotBad, Left, Chosen, Reopened,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch, Unsure,
 	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining, WorkerState, CallLate,
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -54,13 +54,13 @@
 		if j.req.Method != http.MethodHead {
 			_, _ = w.Write(j.back.Body)
 		}
-	case j.unknown != nil:
+	case j.lost != nil:
 		code := http.StatusBadGateway
-		if j.unknown.Late {
+		if j.lost.Late {
 			code = http.StatusGatewayTimeout
 		}
 		x.mark(w, seal.Ran, "unknown")
-		outer.JSON(w, code, outer.Wrong{Wrong: "outcome unknown: " + j.unknown.Why, Ran: "unknown"})
+		outer.JSON(w, code, outer.Wrong{Wrong: "outcome unknown: " + j.lost.Why, Ran: "unknown"})
 	default:
 		x.busyNow(w, j.why, x.comeback(j))
 	}
@@ -79,7 +79,7 @@
 		if j.entry.Area == x.P.Area {
 			c.Near++
 		}
-	case j.unknown != nil:
+	case j.lost != nil:
 		c.Unknown++
 	default:
 		c.Refused++
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -42,7 +42,7 @@
 	part    float64       // how far it is the call of a repeated run
 	entry   ormap.Entry
 	back    session.Back
-	unknown *session.Back // the first attempt that may have run
+	lost    *lostAttempt  // the first attempt that may have run and has no answer
 	spare   *session.Back // a worker's own failure, given if nothing better comes
 	why     string
 	come    time.Duration // when the caller may come back, as the last refusal had it
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -69,6 +69,9 @@
 	if v.back.Kind == session.Unknown {
 		x.step(v, stepUnknown, v.back.Why)
 	}
+	if plan := x.stop.Load(); plan != nil && v.back.Kind != session.Done {
+		v.back.Stopped = max(plan.Since().Milliseconds(), 1)
+	}
 	v.back.Used, v.back.Inner = -1, v.ask.Inner
 	if v.gate != nil {
 		x.ended(v)
--- a/internal/proxy/tally.go
+++ b/internal/proxy/tally.go
@@ -53,7 +53,7 @@
 		a.t.Times[Bin(time.Since(j.from))]++
 	case j.back.Kind == session.Done:
 		a.t.Failed++
-	case j.unknown != nil:
+	case j.lost != nil:
 		a.t.Unknown++
 	default:
 		a.t.Refused++
--- a/internal/proxy/unanswered.go
+++ b/internal/proxy/unanswered.go
@@ -7,6 +7,7 @@
 
 	"puffincrank/internal/event"
 	"puffincrank/internal/grace"
+	"puffincrank/internal/ormap"
 	"puffincrank/internal/session"
 	"puffincrank/internal/wire"
 )
@@ -19,9 +20,17 @@
 	endedByRouteTime = "route-time" // the route's time was up
 	endedByAttempt   = "attempt"    // the time of an attempt was up, before that of the request
 	endedByLink      = "link"       // the link to the owner ended
+	endedByOwner     = "owner"      // the node beside the worker was told to end
 	endedByWorker    = "worker"     // the worker's connection ended, or its answer was wrong
 )
 
+// lostAttempt is an attempt that may have run and has no answer, with the entry of
+// the worker that it was sent to.
+type lostAttempt struct {
+	session.Back
+	entry ormap.Entry
+}
+
 // unansweredInStop bounds the log lines of one stop; the trail holds the rest.
 const unansweredInStop = 64
 
@@ -32,18 +41,24 @@
 func (s *stopLines) allow() bool { return s.written.Add(1) <= unansweredInStop }
 
 // noteUnanswered tells of a request that may have run and that ends without its
-// worker's answer: by which bound, how long after the order to end, and at which
-// worker it was. One line a beat with a count of the others; after the order to
-// end each one, up to a bound. The trail has all of them.
+// worker's answer: by which bound, how long after the order to end of this node and
+// of the one beside the worker (negative: there was none), at which worker it was
+// lost, and what was said of the newest attempt after that. One line a beat with a
+// count of the others; after the order to end each one, up to a bound. The trail has
+// all of them.
 func (x *Proxy) noteUnanswered(ctx context.Context, j *job) {
-	if j.back.Kind == session.Done || j.unknown == nil {
+	if j.back.Kind == session.Done || j.lost == nil {
 		return
 	}
 	by := x.endedBy(ctx, j)
 	stop := x.sinceStop()
-	x.trail.add(Step{Request: j.name(), Attempt: j.id, Step: stepUnanswered, Worker: j.entry.Worker, Why: by + ": " + j.unknown.Why})
-	pairs := []any{"request", j.name(), "path", j.path.Name, "by", by, "why", j.unknown.Why, "worker", j.entry.Worker, "owner", j.entry.Owner,
-		"held_ms", time.Since(j.from).Milliseconds(), "stop_ms", stop.Milliseconds()}
+	x.trail.add(Step{Request: j.name(), Attempt: j.id, Step: stepUnanswered, Worker: j.lost.entry.Worker, Why: by + ": " + j.lost.Why})
+	ownerStop := int64(-1)
+	if j.lost.Stopped > 0 {
+		ownerStop = j.lost.Stopped
+	}
+	pairs := []any{"request", j.name(), "path", j.path.Name, "by", by, "why", j.lost.Why, "worker", j.lost.entry.Worker, "owner", j.lost.entry.Owner,
+		"held_ms", time.Since(j.from).Milliseconds(), "stop_ms", stop.Milliseconds(), "owner_stop_ms", ownerStop, "sends", j.sends, "then", j.why}
 	if stop < 0 {
 		x.unanswered.Emit(x.e.Log, event.Unanswered, pairs...)
 	} else if x.stopLines.allow() {
@@ -63,10 +78,12 @@
 			return endedByRouteTime
 		}
 		return endedByDeadline
-	case j.unknown.Late:
+	case j.lost.Late:
 		return endedByAttempt
-	case j.unknown.Why == noReceipt:
+	case j.lost.Why == noReceipt:
 		return endedByLink
+	case j.lost.Why == whyEnding:
+		return endedByOwner
 	}
 	return endedByWorker
 }
--- a/internal/proxy/weigh.go
+++ b/internal/proxy/weigh.go
@@ -43,9 +43,8 @@
 		}
 		return stop
 	}
-	if j.unknown == nil {
-		b := j.back
-		j.unknown = &b
+	if j.lost == nil {
+		j.lost = &lostAttempt{Back: j.back, entry: j.entry}
 	}
 	// It may have run, so only a path declared safe is tried again.
 	if j.arm.Safe && more {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -210,4 +210,5 @@
 	Pass    bool                `msgpack:"pa,omitempty"` // refused since no slot was free for one that would not wait
 	Pace    uint8               `msgpack:"p,omitempty"`  // how long jobs run there against its like, in eighths
 	Fail    uint8               `msgpack:"f,omitempty"`  // part of its last jobs that failed, in 64ths
+	Stopped int64               `msgpack:"st,omitempty"` // of one that was not done: ms since the owner was told to end; 0: it was not
 }
--- a/internal/sim/sightstop_test.go
+++ b/internal/sim/sightstop_test.go
@@ -63,6 +63,50 @@
 	})
 }
 
+// TestSightOfLostRun: the node beside a worker is told to end while that is at work on
+// a request of another node, which is told to end as well. The log of the latter names
+// the worker and the node at which the run was lost, and how long before that node had
+// its order; not the worker that was asked last.
+//
+// It named the one asked last: "its node is ending" was told of a node whose own order
+// came 5.66 s later.
+func TestSightOfLostRun(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := stopFleet(t, 443, time.Second)
+		line := small().Lines[2]
+		line.Left = "60000"
+		lines := logOf(f)
+		defer f.Stop()
+		f.Start()
+		at := f.other("scans")
+		ended := make(chan []stand.Call, 1)
+		f.g.Go("call", func(context.Context) { ended <- f.atFront(at, line, 1) })
+		Wait(400 * time.Millisecond)
+		var owner *Node
+		for _, n := range f.Nodes {
+			if n.Worker.Service == "scans" && n.Worker.Ran() > 0 {
+				owner = n
+			}
+		}
+		if owner == nil {
+			t.Fatal("no worker has the request: the test shows nothing")
+		}
+		f.g.Go("stop-owner", func(context.Context) { owner.Proxy.Stop() })
+		Wait(owner.Proxy.P.Grace * 3 / 8)
+		at.Proxy.Stop()
+		<-ended
+		told := strings.Join(lines("unanswered"), "\n")
+		found := regexp.MustCompile(`by=owner why=its node is ending worker=` + owner.Worker.ID + ` owner=` + owner.Proxy.P.Node + ` .*stop_ms=\d+ owner_stop_ms=(\d+) sends=\d+ then=`).FindStringSubmatch(told)
+		if found == nil {
+			t.Fatalf("the log does not tell at which node the run was lost, and why: %q", told)
+		}
+		if ms, _ := strconv.Atoi(found[1]); ms < 12000 || ms > 15000 { // of a grace of 15 s
+			t.Errorf("lost %d ms after that node's order", ms)
+		}
+	})
+}
+
 // TestSightOfChanges: for each acknowledged change of the configuration the leader's
 // log names the members that had it on their disks by then, and a store that starts
 // again tells what its disk held.
--- a/internal/wire/few.go
+++ b/internal/wire/few.go
@@ -64,7 +64,7 @@
 			if !l.rests() {
 				return false
 			}
-			l.shut()
+			l.shut(endUnused)
 			return true
 		})
 	}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -97,20 +97,23 @@
 // run starts the reader, which is buffered from the hello on.
 func (l *link) run(r *bufio.Reader) bool {
 	if !l.n.g.Go("link-read", func(context.Context) { l.read(r) }) {
-		l.shut()
+		l.shut(endStopping)
 		return false
 	}
 	return true
 }
 
-func (l *link) shut() {
+// shut ends the link; why is told when calls are under way on it.
+func (l *link) shut(why endReason) {
 	l.once.Do(func() {
 		l.mu.Lock()
+		waiting, serving := len(l.wait), len(l.under)
 		l.over = true
 		l.tell()
 		l.spent()
 		l.slack.Broadcast()
 		l.mu.Unlock()
+		l.noteEnd(why, waiting, serving)
 		close(l.done)
 		l.abandonAll()
 		_ = l.conn.Close()
@@ -136,11 +139,13 @@
 }
 
 func (l *link) read(r *bufio.Reader) {
-	defer l.shut()
+	why := endReading
+	defer func() { l.shut(why) }()
 	for {
 		f, err := l.hear(r)
 		if err != nil {
 			if fault.Is(err, fault.Input) {
+				why = endFrames
 				l.n.bad(l.hail.Node, err)
 			}
 			return
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -36,6 +36,7 @@
 	stir     chan struct{}     // wakes the watch
 	awake    atomic.Bool       // the watch is at work
 	hasty    atomic.Bool       // this node goes soon
+	linkEnds *event.Limiter    // of links that ended with calls under way
 	trims    atomic.Bool       // links are being closed for the bound
 	watching sync.Once
 	turns    sync.Pool
@@ -62,7 +63,7 @@
 func NewNode(self Hello, e env.Env, g *task.Group, most, busy int, patience time.Duration) *Node {
 	self.Mark, self.Low, self.High = mark, Low, High
 	n := &Node{Self: self, Most: most, Patience: patience, env: e, g: g, pool: task.NewPool(g, "inner-call", busy),
-		born: time.Now(), takers: map[string]*taker{}, links: map[string]*dial{}, all: map[*link]bool{}, sizes: map[Flow]Sum{}, tracks: map[string]*track{}, stir: make(chan struct{}, 1)}
+		born: time.Now(), takers: map[string]*taker{}, links: map[string]*dial{}, all: map[*link]bool{}, sizes: map[Flow]Sum{}, tracks: map[string]*track{}, stir: make(chan struct{}, 1), linkEnds: event.NewLimiter(patience / linkEndsPart)}
 	if l, ok := e.Net.(*Paved); ok {
 		n.road = l.Road
 	}
@@ -103,7 +104,7 @@
 		_ = n.ear.Close()
 	}
 	for _, l := range n.standing() {
-		l.shut()
+		l.shut(endStopping)
 	}
 }
 
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -135,7 +135,7 @@
 	case idle:
 		// It was doubted and came back to life, but others took its place.
 		if spent {
-			l.shut()
+			l.shut(endDoubted)
 		}
 	case pinged:
 		l.ping()
@@ -171,7 +171,7 @@
 	if c, ok := l.conn.Conn.(interface{ SetLinger(int) error }); ok {
 		_ = c.SetLinger(0)
 	}
-	l.shut()
+	l.shut(endSilent)
 }
 
 var _ interface{ SetLinger(int) error } = (*net.TCPConn)(nil)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,8 @@
 	g    *task.Group
 	seen atomic.Int64
 	bad  atomic.Int64
+	mu   sync.Mutex
+	ends []string // of links with calls under way, as the logs tell
 }
 
 func (p *pair) node(h, m string) *wire.Node {
@@ -44,6 +47,11 @@
 		if e.Num == event.BadLink.Num {
 			p.bad.Add(1)
 		}
+		if e.Num == event.LinkEnded.Num {
+			p.mu.Lock()
+			p.ends = append(p.ends, h+" "+e.Say)
+			p.mu.Unlock()
+		}
 	})
 	p.net.Place(h, "x")
 	return wire.NewNode(wire.Hello{Mesh: m, Node: h, Area: "x"}, env.Env{Net: p.net.Process(h, h), Log: log, Wall: time.Now, Pause: p.net.Pause(h)}, p.g, 1<<20, 4, 500*time.Millisecond)
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -203,7 +203,7 @@
 	}
 	l.over = true
 	l.mu.Unlock()
-	l.shut()
+	l.shut(endWriting)
 }
 
 // recall takes a call of ours back. True means that it certainly did not go
