Judge without its excuse for what may be repeated; failing tests of runs that outlast their node

The judge excused an answer of ours at a front in a stop where the worker's own node had ended in a stop of its own. It is excused now only for what may not be repeated, since nobody else reaches that worker; what others could have had is blamed. A run that was broken off before the front's order is blamed, too, as users' plays do. Judged besides: of the nodes that were ready when told to end, not over a quarter (two at least) count as ready 4 s later.

TestRunsOutlastTheirNode brings the record's shape about, and three of its kind: only the front ends; the owner is killed under the front's stop; an attempt's part of the time is up in the stop.

--- a/internal/fleetrun/soak/run.go
+++ b/internal/fleetrun/soak/run.go
@@ -80,6 +80,7 @@
 	for _, m := range f.machines {
 		f.g.Go("poll-ready", func(context.Context) {
 			ready := isReady(m.host)
+			f.wit.Looked(m.name, ready)
 			m.mu.Lock()
 			m.misses++
 			if ready {
--- /dev/null
+++ b/internal/sim/lostrun_test.go
@@ -0,0 +1,180 @@
+package sim
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/stand"
+)
+
+// slowRun is a fleet in which one worker of a service is at work on requests of another
+// node, far longer than the service's other workers take for them.
+type slowRun struct {
+	*Fleet
+	front *Node // at which the requests came
+	owner *Node // beside the slow worker
+	line  stand.Line
+	ended chan []stand.Call
+	many  int
+}
+
+// slowRequests is how many requests come at once; some of them to the slow worker.
+const slowRequests = 12
+
+// repeatsEnough gives each node enough repeats for all that a test asks for.
+func (f *Fleet) repeatsEnough() {
+	f.S.Doc = strings.Replace(f.S.Doc, `{"services"`, `{"limits":{"repeat_allowance":300},"services"`, 1)
+}
+
+// startSlowRun begins requests that may be repeated, of which some are at work at a
+// slow worker when it comes back, and those at the other workers have ended. Their
+// callers wait for so long. The front has learned what such requests usually take.
+func startSlowRun(t *testing.T, seed uint64, usual time.Duration, left string) *slowRun {
+	t.Helper()
+	f, line := stopFleet(t, seed, usual)
+	f.repeatsEnough()
+	f.Start()
+	r := &slowRun{Fleet: f, front: f.other("pages"), owner: f.ofService("pages"), line: line, ended: make(chan []stand.Call, 1)}
+	r.line.Left = left
+	// A node counts on its part of the repeats once a window has passed since its start.
+	Wait(12 * time.Second)
+	for range 3 {
+		f.atFront(r.front, line, 8)
+	}
+	r.owner.Worker.Behave(stand.Way{Took: 80 * time.Second})
+	before := r.owner.Worker.Runs()
+	f.g.Go("call", func(context.Context) { r.ended <- f.atFront(r.front, r.line, slowRequests) })
+	Wait(usual*3/2 + time.Second)
+	if r.many = r.owner.Worker.Runs() - before; r.many == 0 || r.many == slowRequests {
+		t.Fatalf("%d of %d requests are at the slow worker: the test shows nothing", r.many, slowRequests)
+	}
+	return r
+}
+
+// answers checks that each request has a worker's answer, but for some.
+func (r *slowRun) answers(t *testing.T, but int, from time.Time) {
+	t.Helper()
+	bad := 0
+	for _, c := range <-r.ended {
+		if c.Status != 200 {
+			bad++
+			t.Logf("%d %s %v after the order", c.Status, c.Body, c.To.Sub(from))
+		}
+	}
+	if bad > but {
+		t.Errorf("%d of %d requests that were at the slow worker have no answer of a worker", bad, r.many)
+	}
+}
+
+// TestRunsOutlastTheirNode: what may be repeated, and is at work at a node that ends
+// before the run does, is answered by another worker.
+func TestRunsOutlastTheirNode(t *testing.T) {
+	t.Parallel()
+	t.Run("both nodes end", bothNodesEnd)
+	t.Run("the front ends", frontEndsUnderSlowRun)
+	t.Run("the owner is killed", ownerKilledUnderStop)
+	t.Run("part of the time", partOfTheTime)
+}
+
+// bothNodesEnd: the node beside a slow worker is told to end, and 2.24 parts of 6 of a
+// grace later the node at which the requests came. Other workers are free all the time.
+//
+// A second attempt was begun when the run was lost, at the end of the owner's stop, and
+// refused, since by what such requests take it would not end before the front did:
+// "by=owner why=its node is ending owner_stop_ms=5202 then=a node on its way ends before
+// it would be done". The caller got 502 at once, 2.96 s after the front's order. The
+// owner knew from its order on that it would end, and the others were free.
+func bothNodesEnd(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		r := startSlowRun(t, 461, 4500*time.Millisecond, "60000")
+		defer r.Stop()
+		from := time.Now()
+		r.g.Go("stop-owner", func(context.Context) { r.owner.Proxy.Stop() })
+		Wait(r.owner.Proxy.P.Grace * 224 / 600)
+		r.front.Proxy.Stop()
+		r.answers(t, 0, from)
+	})
+}
+
+// frontEndsUnderSlowRun: only the node at which the requests came is told to end. It
+// answered 502 at its end for what was at the slow worker, with other workers free.
+func frontEndsUnderSlowRun(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		r := startSlowRun(t, 462, 4500*time.Millisecond, "60000")
+		defer r.Stop()
+		from := time.Now()
+		r.front.Proxy.Stop()
+		r.answers(t, 0, from)
+	})
+}
+
+// ownerKilledUnderStop: the node beside the slow worker is gone without a word while
+// the other is in its stop, with less time left than such requests may take. A repeat
+// was refused for that, so that the caller got 502 for certain; begun all the same,
+// most end in time.
+func ownerKilledUnderStop(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		r := startSlowRun(t, 463, 4500*time.Millisecond, "60000")
+		defer r.Stop()
+		from := time.Now()
+		r.g.Go("stop", func(context.Context) { r.front.Proxy.Stop() })
+		Wait(r.front.Proxy.P.Grace / 2)
+		r.KillNode(r.owner)
+		Wait(100 * time.Millisecond)
+		r.answers(t, r.many/2, from)
+	})
+}
+
+// partOfTheTime: a request has ten seconds, of which its first attempt was given six, so
+// that a repeat can follow; the run takes eight. The other workers leave meanwhile, and
+// the front is told to end. The attempt was ended by the front after six seconds with
+// nobody to repeat it, and the caller got 504 with four seconds left.
+func partOfTheTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f, line := stopFleet(t, 464, time.Second)
+		defer f.Stop()
+		f.repeatsEnough()
+		f.Start()
+		front, owner := f.other("pages"), f.ofService("pages")
+		Wait(30 * time.Second)
+		for range 3 {
+			f.atFront(front, line, 8)
+		}
+		// Half to one and a half of it, so that most take more than six.
+		owner.Worker.Behave(stand.Way{Took: 7 * time.Second})
+		line.Left = "10000"
+		before := owner.Worker.Runs()
+		ended := make(chan []stand.Call, 1)
+		f.g.Go("call", func(context.Context) { ended <- f.atFront(front, line, slowRequests) })
+		Wait(1700 * time.Millisecond)
+		many := owner.Worker.Runs() - before
+		if many == 0 {
+			t.Fatal("no request is at the slow worker: the test shows nothing")
+		}
+		for _, n := range f.Nodes {
+			if n != owner && n.Worker.Service == "pages" {
+				n.Worker.Leave("draining")
+			}
+		}
+		from := time.Now()
+		front.Proxy.Stop()
+		late := 0
+		for _, c := range <-ended {
+			if took := c.To.Sub(c.From); c.Status != 200 && took < 9*time.Second {
+				t.Errorf("%d %s after %v, %v after the order", c.Status, c.Body, took, c.To.Sub(from))
+			} else if took > 6*time.Second {
+				late++
+			}
+		}
+		if late == 0 {
+			t.Error("no run took longer than the first attempt's part: the test shows nothing")
+		}
+	})
+}
--- a/internal/sim/sitecore_test.go
+++ b/internal/sim/sitecore_test.go
@@ -144,6 +144,7 @@
 	for _, m := range all {
 		s.g.Go("look", func(ctx context.Context) {
 			code, _ := play.Ask(ctx, s.Net.Host("10.0.9.9"), "GET", m.Host+":7003", "/puffin/ready", nil, 900*time.Millisecond)
+			s.wit.Looked(m.name, code == 200)
 			if code == 200 {
 				m.misses.Store(0)
 				m.c.Out.Store(false)
--- a/internal/stand/witness/answers.go
+++ b/internal/stand/witness/answers.go
@@ -144,7 +144,7 @@
 func (w *Witness) Verdict() (map[string]int, []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, check := range []func(){w.answers, w.unasked, w.denied, w.drains, w.gone, w.broken, w.keptCuts, w.held, w.handed, w.oldDocs, w.stepsBack, w.readBacks, w.added,
+	for _, check := range []func(){w.answers, w.unasked, w.denied, w.drains, w.unready, w.gone, w.broken, w.keptCuts, w.held, w.handed, w.oldDocs, w.stepsBack, w.readBacks, w.added,
 		w.budget, w.recovers, w.locks, w.orders, w.keys, w.watches, w.acks} {
 		check()
 	}
--- a/internal/stand/witness/leaving.go
+++ b/internal/stand/witness/leaving.go
@@ -159,7 +159,7 @@
 	}
 	// After the order to end an answer of the mesh's own in the place of a worker's
 	// comes to the same, whether the worker goes on or was broken off before.
-	if v := t.givenUp(p.from); !p.hup && v != nil && t.own() && w.until(t).After(t.End) && !w.ownerEnded(t, v) {
+	if v := t.givenUp(); !p.hup && v != nil && t.own() && w.until(t).After(t.End) && !w.ownerEnded(t, v) {
 		w.blame(Lost, "%s at %s got %d of the mesh's own at %s, %v after the order to end, while %s was at work on it since %s; it came at %s and had until %s",
 			t.ID, t.Front, t.Got.Status, stamp(t.End), t.End.Sub(p.from), v.Worker.Name, stamp(v.Start), stamp(t.From), stamp(w.until(t)))
 	}
@@ -181,11 +181,12 @@
 	return false
 }
 
-// ownerEnded tells the same of an answer that came as the node beside the worker
-// ended, which alone reaches it: the run ended with that node, in the last sixth of
-// its grace.
+// ownerEnded tells the same of a try that may not be repeated, whose answer came as the
+// node beside its worker ended, or up to a second after its grace: nobody else reaches
+// the worker, so such a run ends with that node. Plays that were judged by users show no
+// blame for it. What may be repeated is never excused so, since others could have had it.
 func (w *Witness) ownerEnded(t *Try, v *Visit) bool {
-	if v.Worker.Machine == t.Front {
+	if t.Repeat || v.Worker.Machine == t.Front {
 		return false
 	}
 	for _, p := range w.plans {
@@ -201,10 +202,10 @@
 }
 
 // givenUp finds the worker that was at work on a try when it was answered, or whose
-// run was ended after a time without an answer, for no reason of its own.
-func (t *Try) givenUp(from time.Time) *Visit {
+// run was ended before without an answer, for no reason of its own.
+func (t *Try) givenUp() *Visit {
 	for _, v := range t.Visits {
-		if v.Ran() && !v.Broke && v.Status == 0 && v.End.After(from) && v.End.Before(t.End) {
+		if v.Ran() && !v.Broke && v.Status == 0 && !v.End.IsZero() && v.End.Before(t.End) {
 			return v
 		}
 	}
--- a/internal/stand/witness/leaving_test.go
+++ b/internal/stand/witness/leaving_test.go
@@ -142,7 +142,65 @@
 			pass(2900 * time.Millisecond)
 			d.own(t, 502)
 		}},
-		{"an own answer as the worker's node ends a second time, a first run ended with it before", "", func(d *day) {
+		{"an own answer as the worker's node ends, of what others could have had", Lost, func(d *day) {
+			t := d.ask()
+			t.Repeat = true
+			d.doc(2, "s", "u")
+			d.lasts(10 * time.Second)
+			t.Left = 10 * time.Second
+			d.Term("m2")
+			pass(2 * time.Second)
+			d.Term("m1")
+			v := d.run(t, d.l)
+			v.End = time.Time{}
+			pass(3100 * time.Millisecond)
+			d.own(t, 502)
+		}},
+		{"an own answer in a stop, the run ended with its node before the order", Lost, func(d *day) {
+			t := d.ask()
+			t.Repeat = true
+			d.doc(2, "s", "u")
+			d.lasts(20 * time.Second)
+			t.Left = 20 * time.Second
+			d.Term("m2")
+			v := d.run(t, d.l)
+			pass(5200 * time.Millisecond)
+			v.Status, v.Stamp, v.End = 0, "", time.Now()
+			pass(time.Second)
+			d.Term("m1")
+			pass(2 * time.Second)
+			d.own(t, 502)
+		}},
+		{"an own answer long after the worker's node ended, of what may not be repeated", Lost, func(d *day) {
+			t := d.ask()
+			d.doc(2, "s", "u")
+			d.lasts(20 * time.Second)
+			t.Left = 20 * time.Second
+			d.Term("m2")
+			v := d.run(t, d.l)
+			pass(5200 * time.Millisecond)
+			v.Status, v.Stamp, v.End = 0, "", time.Now()
+			d.Term("m1")
+			pass(2 * time.Second)
+			d.own(t, 502)
+		}},
+		{"still ready after the order", Drain, func(d *day) { d.stillReady(3, 2) }},
+		{"one still ready after the order", "", func(d *day) { d.stillReady(3, 1) }},
+		{"a quarter still ready after the order", "", func(d *day) { d.stillReady(8, 2) }},
+		{"over a quarter still ready after the order", Drain, func(d *day) { d.stillReady(7, 2) }},
+		{"started again after the order", "", func(d *day) {
+			for i := range 3 {
+				d.Looked(fmt.Sprint("n", i), true)
+				d.Term(fmt.Sprint("n", i))
+			}
+			pass(2 * time.Second)
+			for i := range 3 {
+				d.Lives(fmt.Sprint("n", i))
+				d.Looked(fmt.Sprint("n", i), true)
+			}
+			pass(3 * time.Second)
+		}},
+		{"an own answer as the worker's node ends a second time, a first run ended with it before", Lost, func(d *day) {
 			d.doc(2, "s", "u")
 			d.lasts(20 * time.Second)
 			t := d.ask()
@@ -233,3 +291,17 @@
 		}},
 	}
 }
+
+// stillReady tells so many nodes to end, of which some are found ready ever after.
+func (d *day) stillReady(all, still int) {
+	for i := range all {
+		d.Looked(fmt.Sprint("n", i), true)
+		d.Term(fmt.Sprint("n", i))
+	}
+	for range 5 {
+		pass(time.Second)
+		for i := range all {
+			d.Looked(fmt.Sprint("n", i), i < still)
+		}
+	}
+}
--- a/internal/stand/witness/witness.go
+++ b/internal/stand/witness/witness.go
@@ -127,6 +127,8 @@
 	ops     []*Op
 	holds   []*Hold
 	lives   map[string]int
+	starts  map[string][]time.Time // of a machine's processes, but for the first
+	looks   map[string][]look      // at its node's readiness
 	plans   []plan
 	fullest float64 // window of repeats, as a part of what is allowed
 	fullAt  string
@@ -136,7 +138,7 @@
 // New makes a witness of a day that begins now.
 func New(b Bounds) *Witness {
 	return &Witness{B: b, tries: map[string]*Try{}, serves: map[string]string{}, bad: map[string]int{}, seen: map[string]bool{},
-		Touch: newTouch(b.Touch), lives: map[string]int{}}
+		Touch: newTouch(b.Touch), lives: map[string]int{}, starts: map[string][]time.Time{}, looks: map[string][]look{}}
 }
 
 // Blame counts one breach; each note is counted once.
@@ -233,6 +235,7 @@
 func (w *Witness) Lives(machine string) {
 	w.mu.Lock()
 	w.lives[machine]++
+	w.starts[machine] = append(w.starts[machine], time.Now())
 	w.mu.Unlock()
 }
 
