Runs that a stop will end are hedged in time; a lost run's repeat is begun while it can be

Cause: a run that its own node's stop ends was repeated only when it was lost, 5.2 s after an order that its node had known of all the time; the repeat was refused where it would not end by usual times ("a node on its way ends before it would be done"), or for want of the front's own part of the repeats while hardly any other node had used its own ("no repeats are left"). A front that was in a stop of its own by then answered 502 at once.

Now: the node beside a worker tells the fronts of its runs as soon as it is told to end. A front begins a second attempt beside one whose run will be ended, or that has lasted twice the usual time in its own stop; the first whole answer wins, the other is ended. A request that lost a run is begun though it may not end in time, waits for slots before others, goes on looking until its front's end, and may be paid for by the node beside the worker that takes it, from that node's part of the bound. Nodes that don't know how long runs take begin none for others in a stop, or go by what the front tells.

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -152,6 +152,9 @@
 	if v.part = v.in.Part; v.in.Again {
 		v.part = 1
 	}
+	if v.in.Unpaid && !x.again.Again(v.in.Service) {
+		return v.in.Service, false
+	}
 	calls := x.calls.expects(v.in.Path, v.part)
 	// One that is only called by a repeat isn't refused, or the work of that one
 	// would be lost; its room is held all the same, before that of others.
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -73,10 +73,11 @@
 	}
 	if lacks, ok := x.begun(v); !ok {
 		x.way.keep(k)
-		return v.later("no repeats are left for calls to "+lacks, x.again.When(lacks))
+		return v.later("no repeats are left for "+lacks, x.again.When(lacks))
 	}
 	// From here on the worker may have had the job, whatever an error says.
 	x.step(v, stepSent, "")
+	defer x.noteRemote(ctx, &v.in)()
 	v.back.Came = true
 	release := x.endsWith(ctx, v, k)
 	w, body, err := x.way.send(k, r, v.end, x.surplus(v), release)
--- a/internal/proxy/ending.go
+++ b/internal/proxy/ending.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"puffincrank/internal/session"
+	"puffincrank/internal/task"
 )
 
 // queueWaitBound is how long a job of this front may wait for a slot at most. A node that
@@ -28,9 +30,10 @@
 // boundRequeue bounds how long a job that waited elsewhere already may wait at its next
 // worker: half of its time, all workers together. Queued anew for half of what
 // is left each time, one that is given up would be held for seven eighths of its
-// time. What has waited that long takes a slot that is free, or none.
+// time. What has waited that long takes a slot that is free, or none; but not one that
+// has lost a run, and can't be told that it did not run.
 func (j *job) boundRequeue(h *session.Hand) {
-	if j.waited == 0 {
+	if j.waited == 0 || h.Last {
 		return
 	}
 	h.Stay = (j.end.Sub(j.from)/2 - j.waited).Milliseconds()
@@ -49,48 +52,76 @@
 	return max(plan.WaitsFor().Milliseconds(), 1)
 }
 
-// reservesRetry tells whether an attempt leaves a part of the job's time for a repeat. It
-// ends the attempt while its worker may be at work, so it needs a repeat that is to
-// be had, at another worker, and that can be done in what is kept. Around a planned
-// stop, from the order until a grace after the start of what came in its place, it
-// is not done: where the repeat fails, the caller would have an answer of ours in
-// place of its worker's.
-func (x *Proxy) reservesRetry(j *job, left time.Duration) bool {
-	if !j.arm.Safe || j.arm.Bulk != "" || j.sends-j.rushes >= j.arm.Tries || j.known <= len(j.tried) || !x.again.Could(j.service) {
-		return false
-	}
-	usual := time.Duration(x.pick.Usual(j.path.Name) * float64(time.Millisecond))
-	return usual <= left-firstAttempt(left) && x.stop.Load() == nil && time.Since(x.born) > x.P.Grace+x.P.Change
+// needs is the time to allow for an attempt: by what such requests take at this worker,
+// else by what its front says that they take; 0 when neither is known.
+func (v *visit) needs() time.Duration {
+	told := time.Duration(v.in.Usual) * time.Millisecond
+	return v.gate.need(v.in.Path, told*3/2)
 }
 
-// firstAttempt is what the first of two attempts has of a job's time left.
-func firstAttempt(left time.Duration) time.Duration { return left * 6 / 10 }
-
 // slackBeforeEnd is how long an attempt may wait that its front, which was told to end, or
-// this node waits for no longer than until some time: by what jobs of its path take
-// here it is answered before then. Begun later, it would be broken off at work.
+// this node waits for no longer than until some time: by what such requests take it is
+// answered before then. Begun later, it would be broken off at work.
 // False for all other attempts.
 func (x *Proxy) slackBeforeEnd(v *visit) (wait time.Duration, ends bool) {
-	need := v.gate.need(v.in.Path, 0)
+	need := v.needs()
 	if !v.last.IsZero() {
 		wait, ends = time.Until(v.last)-need, true
 	}
+	plan := x.stop.Load()
+	if plan == nil {
+		return wait, ends
+	}
 	// Other nodes can have it still, so here it must be all but certain.
-	if plan := x.stop.Load(); plan != nil {
-		if own := plan.WaitsFor() - 2*need; !ends || own < wait {
-			wait, ends = own, true
-		}
+	own := plan.WaitsFor() - 2*need
+	if need == 0 {
+		own = 0
+	}
+	if !ends || own < wait {
+		wait, ends = own, true
 	}
 	return wait, ends
 }
 
 // endsInTime refuses an attempt that can't be answered before its front or this node goes;
-// another may have the job.
+// another may have it. One whose request has lost a run, or will, is begun all the same
+// where only its front goes, or where nobody else took it: a run that may not end in
+// time is better than none.
 func (x *Proxy) endsInTime(v *visit) bool {
 	wait, ends := x.slackBeforeEnd(v)
-	return !ends || wait > 0 || v.later("a node on its way ends before it would be done", x.P.Beat())
+	if !ends || wait > 0 {
+		return true
+	}
+	if v.in.Last && x.mayStillEnd(v) {
+		return true
+	}
+	return v.later("a node on its way ends before it would be done", x.P.Beat())
+}
+
+// mayStillEnd tells that an attempt has some time, if less than such requests usually take,
+// before its front or this node goes.
+func (x *Proxy) mayStillEnd(v *visit) bool { return x.leftBeforeEnd(v) > x.P.Parting() }
+
+// leftBeforeEnd is how long a lost request's attempt has until its front or this node
+// goes; none at a node that ends as long as others may take it.
+func (x *Proxy) leftBeforeEnd(v *visit) time.Duration {
+	left := x.P.Grace
+	if !v.last.IsZero() {
+		left = time.Until(v.last)
+	}
+	if plan := x.stop.Load(); plan != nil {
+		if !v.in.Any {
+			return 0
+		}
+		left = min(left, plan.WaitsFor())
+	}
+	return left
 }
 
+// lostWaitPart is, as a divisor of the time until its front or this node goes, how long
+// the attempt of a lost request waits for a slot where it may not end in time anyway.
+const lostWaitPart = 4
+
 // queueWait is how long an attempt waits for a slot: as long as it can then
 // still be answered inside its aim, by what jobs of its path take here, and
 // half of the time left at most, so that it can be tried elsewhere. One that
@@ -104,6 +135,9 @@
 		}
 	}
 	if most, ends := x.slackBeforeEnd(v); ends {
+		if v.in.Last {
+			most = max(most, x.leftBeforeEnd(v)/lostWaitPart)
+		}
 		wait = min(wait, max(most, 0))
 	}
 	return wait
@@ -113,6 +147,8 @@
 // be served. A slot serves one job either way.
 func (v *visit) rank() int {
 	switch left := time.Until(v.end); {
+	case v.in.Last:
+		return -1 // a run of it is lost
 	case time.Duration(v.in.Aim)*time.Millisecond <= v.gate.need(v.in.Path, left/4)*2/3:
 		return 2 // it would be late, by what jobs of its path take here
 	case v.in.Seen:
@@ -130,3 +166,30 @@
 	}
 	return max(min(left/4, left-need), 0)
 }
+
+// pauseForLost is the pause before a lost request turns to workers anew that had no room,
+// by when they said that they may have some. Room that comes sooner must not be missed.
+func (x *Proxy) pauseForLost(come time.Duration) time.Duration {
+	return min(max(come, x.P.Beat()/2), 2*x.P.Beat())
+}
+
+// persists tells that a request goes on to look for a worker, after a pause: this node
+// was told to end, and the request has lost the run that it had. Its caller can't come
+// back here, and workers whose slots are taken now may have one before this node goes.
+func (x *Proxy) persists(ctx context.Context, j *job) bool {
+	if j.lost == nil || j.hedged || !j.arm.Safe || j.back.Kind == session.Done || j.came >= j.arm.Tries || x.stop.Load() == nil || x.isEnding() {
+		return false
+	}
+	if j.back.Rules {
+		x.rematch(ctx, j)
+	}
+	task.Pause(ctx, x.pauseForLost(j.come))
+	if ctx.Err() != nil || x.isEnding() || !time.Now().Before(j.end) {
+		return false
+	}
+	j.any = true
+	// Only those at which it was lost are left out now.
+	j.tried = map[string]bool{j.lost.entry.Worker: true}
+	j.looks, j.passed = 0, nil
+	return true
+}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -43,6 +43,10 @@
 	entry   ormap.Entry
 	back    session.Back
 	lost    *lostAttempt  // the first attempt that may have run and has no answer
+	hedged  bool          // a copy, sent beside an attempt that goes on
+	any     bool          // no worker took its repeat: one whose node ends may have it
+	borrows bool          // a stop makes its repeat necessary: an owner may pay for it
+	unpaid  bool          // this front had no repeat left for the attempt under way
 	spare   *session.Back // a worker's own failure, given if nothing better comes
 	why     string
 	come    time.Duration // when the caller may come back, as the last refusal had it
--- /dev/null
+++ b/internal/proxy/hedgetime.go
@@ -0,0 +1,43 @@
+package proxy
+
+import "time"
+
+// When a second attempt is begun, in usual times of such requests: beside a run that its
+// node will end, when so much is left of it, and earlier if it has lasted for
+// hedgeOverdue; and beside any run that has lasted so long, at a front that was told to
+// end and still has hedgeLeast.
+const (
+	hedgeLatest   = 1.5
+	hedgeEarliest = 3
+	hedgeOverdue  = 2
+	hedgeLeast    = 1
+)
+
+// usualTimes is so many times what a request usually takes.
+func usualTimes(n float64, usual time.Duration) time.Duration {
+	return time.Duration(n * float64(usual))
+}
+
+// hedgeBeforeEnd is when a second attempt is begun beside a run that began at a time and
+// that its node ends at another. A run that is not overdue most likely ends by itself
+// before that; a second one needs its own time.
+func hedgeBeforeEnd(begun, ends time.Time, usual time.Duration) time.Time {
+	if usual <= 0 {
+		return begun
+	}
+	at := ends.Add(-usualTimes(hedgeLatest, usual))
+	if overdue := begun.Add(usualTimes(hedgeOverdue, usual)); overdue.Before(at) {
+		at = overdue
+	}
+	if earliest := ends.Add(-usualTimes(hedgeEarliest, usual)); earliest.After(at) {
+		at = earliest
+	}
+	return at
+}
+
+// hedgeInStop is when a second attempt is begun beside a run that is waited for until a
+// time. One that is not overdue has as good a chance as another. False: not at all.
+func hedgeInStop(begun, waits time.Time, usual time.Duration) (at time.Time, ok bool) {
+	at = begun.Add(usualTimes(hedgeOverdue, usual))
+	return at, usual > 0 && !at.After(waits.Add(-usualTimes(hedgeLeast, usual)))
+}
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -127,6 +127,7 @@
 	Room     int64                           `msgpack:"room,omitempty" json:"bytes_under_way_bound"`
 	Slim     int64                           `msgpack:"slim,omitempty" json:"refused_for_thin_links"`
 	Quit     int64                           `msgpack:"quit,omitempty" json:"callers_left"`
+	Hedges   int64                           `msgpack:"hedges,omitempty" json:"hedged"`
 	Routines int                             `msgpack:"routines,omitempty" json:"goroutines"`
 }
 
@@ -160,6 +161,7 @@
 	s.Count = x.count
 	x.mu.Unlock()
 	s.Repeats, s.Slim = x.again.Given(), x.slim.Load()
+	s.Hedges = x.hedges.Load()
 	s.Routines = runtime.NumGoroutine()
 	s.Callers, s.Quit = x.stay.Open(), x.quit.Load()
 	s.Bytes, s.Peak, s.Room = x.load.at()
@@ -211,6 +213,9 @@
 // Busy counts the jobs under way at this front.
 func (x *Proxy) Busy() int64 { return x.busy.Load() }
 
+// Owned counts the attempts under way at this node's worker.
+func (x *Proxy) Owned() int64 { return x.owned.Load() }
+
 // Asked counts the repeats that this front's jobs asked for.
 func (x *Proxy) Asked() int64 { return x.again.Asked() }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,11 +66,14 @@
 	seq         atomic.Uint64
 	slim        atomic.Int64                   // attempts refused for want of room on a link
 	quit        atomic.Int64                   // callers that left before their answers
+	hedges      atomic.Int64                   // second attempts begun beside first ones
 	left        atomic.Bool                    // this node's workers are being left for good
 	stop        atomic.Pointer[grace.Schedule] // of the stop, once it was told to end
 	boot        string
 	born        time.Time
 	late        *grace.Late
+	attempts    attempts   // of this front, that may be hedged
+	remote      remoteRuns // at the own worker, of other fronts
 
 	calling    sync.Mutex // one call of a worker at a time; taken before mu
 	lastCalls  map[string]lastCall
@@ -93,6 +96,7 @@
 	g := task.New(context.Background()).Pace(e.Pause)
 	x := &Proxy{P: p, e: e, g: g, well: make(chan struct{}), gates: map[string]*gate{}, met: map[string]time.Time{}, tally: map[armKey]*armTally{}, live: map[string]time.Time{}, lastCalls: map[string]lastCall{}, departures: map[string]time.Time{}, kept: map[string]string{}, boot: fresh(), born: time.Now(), say: e.Say}
 	x.late = grace.NewLate(g.Context())
+	x.attempts.by, x.remote.by = map[string]*attempt{}, map[string]context.Context{}
 	if x.say.Name == "" {
 		x.say = tongue.Own
 	}
--- /dev/null
+++ b/internal/proxy/runends.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"puffincrank/internal/grace"
+	"puffincrank/internal/session"
+	"puffincrank/internal/wire"
+)
+
+// remoteRuns are the attempts of other fronts under way at the own worker that may be
+// repeated. When this node is told to end, their fronts are told by when it ends the
+// runs, so that they need not wait until they are lost.
+type remoteRuns struct {
+	mu sync.Mutex
+	by map[string]context.Context // attempt to the context of its call
+}
+
+// noteRemote notes an attempt of another front until the result is called.
+func (x *Proxy) noteRemote(ctx context.Context, in *session.Hand) (over func()) {
+	if !in.Safe {
+		return func() {}
+	}
+	x.remote.mu.Lock()
+	x.remote.by[in.Attempt] = ctx
+	x.remote.mu.Unlock()
+	if plan := x.stop.Load(); plan != nil {
+		notifyEnd(ctx, in.Attempt, plan)
+	}
+	return func() {
+		x.remote.mu.Lock()
+		delete(x.remote.by, in.Attempt)
+		x.remote.mu.Unlock()
+	}
+}
+
+// notifyEnds tells the fronts of all attempts under way that this node ends.
+func (x *Proxy) notifyEnds(plan *grace.Schedule) {
+	x.remote.mu.Lock()
+	defer x.remote.mu.Unlock()
+	for attempt, ctx := range x.remote.by {
+		notifyEnd(ctx, attempt, plan)
+	}
+}
+
+// notifyEnd tells one front. A loss is no fault: it hears of the end when it comes.
+func notifyEnd(ctx context.Context, attempt string, plan *grace.Schedule) {
+	_ = wire.Notify(ctx, session.RunEndsKind, session.RunEnds{Attempt: attempt, Left: max(plan.WaitsFor().Milliseconds(), 0)})
+}
+
+// onRunEnds takes in that the node beside a worker ends the run of an attempt.
+func (x *Proxy) onRunEnds(_ context.Context, _ wire.Hello, in session.RunEnds) (struct{}, error) {
+	x.attempts.mu.Lock()
+	a := x.attempts.by[in.Attempt]
+	x.attempts.mu.Unlock()
+	if a != nil {
+		a.endsAt(time.Now().Add(time.Duration(in.Left) * time.Millisecond))
+	}
+	return struct{}{}, nil
+}
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -11,6 +11,7 @@
 	"puffincrank/internal/event"
 	"puffincrank/internal/outer"
 	"puffincrank/internal/rules"
+	"puffincrank/internal/session"
 	"puffincrank/internal/wire"
 )
 
@@ -18,6 +19,7 @@
 func (x *Proxy) Start() error {
 	wire.On(x.n, "job.hand", x.onHand)
 	wire.Abandonable(x.n, "job.hand")
+	wire.On(x.n, session.RunEndsKind, x.onRunEnds)
 	x.touch.Listen()
 	wire.On(x.n, "node.status", x.onStatus)
 	wire.On(x.n, "node.drain", x.onDrain)
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -27,24 +27,32 @@
 	stop
 )
 
-// frontSteps is what each step of the rules does.
-var frontSteps = map[rules.Step]func(*Proxy, context.Context, *job) verb{
-	rules.Nominate: (*Proxy).nominate,
-	rules.HandOver: (*Proxy).handOver,
-	rules.Weigh:    (*Proxy).weigh,
-	rules.Receipt:  func(*Proxy, context.Context, *job) verb { return stop },
+// frontStep does one step of the rules.
+func (x *Proxy) frontStep(ctx context.Context, j *job, step rules.Step) verb {
+	switch step {
+	case rules.Nominate:
+		return x.nominate(ctx, j)
+	case rules.HandOver:
+		return x.handOver(ctx, j)
+	case rules.Weigh:
+		return x.weigh(ctx, j)
+	}
+	return stop
 }
 
 // run is the interpreter: it runs the steps that the path was compiled to.
 func (x *Proxy) run(ctx context.Context, j *job) {
 	for at := 0; at < len(j.arm.Steps); {
-		switch frontSteps[j.arm.Steps[at]](x, ctx, j) {
+		switch x.frontStep(ctx, j, j.arm.Steps[at]) {
 		case next:
 			at++
 		case back:
 			at = 0
 		case stop:
-			return
+			if !x.persists(ctx, j) {
+				return
+			}
+			at = 0
 		}
 	}
 }
@@ -92,7 +100,8 @@
 	}
 	// Only what comes to a worker after the first is a repeat there; what an
 	// owner refused by itself cost no worker anything.
-	if j.came > 0 && !x.again.Again(j.service) {
+	paid := j.came == 0 || x.again.Again(j.service)
+	if j.unpaid = !paid && j.borrows; !paid && !j.unpaid {
 		x.pick.Done(nominate.End{Worker: j.entry.Worker, Used: -1})
 		j.why += "; no repeats are left"
 		// Whoever comes back needs what the last refusal lacked; when that one
@@ -119,16 +128,10 @@
 	j.sends++
 	j.tried[j.entry.Worker] = true
 	left := time.Until(j.end)
-	// A job that may be sent again keeps some time for it, if a repeat is to
-	// be had at all. Bulk that was let in needs its time to come through, and is
-	// let in only if it will.
-	if x.reservesRetry(j, left) {
-		left = firstAttempt(left)
-	}
 	h := session.Hand{Job: j.id, Attempt: fmt.Sprintf("%s.%d", j.id, j.sends), Path: j.path.Name, Arm: j.arm.Name,
 		Version: j.rules.Version, Service: j.service, Class: j.arm.Class, Worker: j.entry.Worker,
 		Host: j.req.Host, Method: j.req.Method, URI: j.req.URL.RequestURI(), Head: x.passed(j.req.Header), Body: j.body, Left: left.Milliseconds(),
-		Said: j.said, Caller: x.set().Service, Again: j.came > 0, Part: j.part, Word: j.word, Wait: x.queueWaitBound().Milliseconds(), Rest: x.waitLeft(), Safe: j.arm.Safe,
+		Said: j.said, Caller: x.set().Service, Again: j.came > 0, Part: j.part, Word: j.word, Wait: x.queueWaitBound().Milliseconds(), Rest: x.waitLeft(), Safe: j.arm.Safe, Usual: x.usual(j.path.Name).Milliseconds(), Last: j.hedged || j.lost != nil, Any: j.any, Unpaid: j.unpaid,
 		Aim: time.Until(j.first.Add(j.arm.Aim)).Milliseconds(), Seen: j.first.Before(j.from)}
 	if x.say.Keeps {
 		h.URI = origin(j.req)
@@ -141,12 +144,15 @@
 	h.Rush = x.rushes(j)
 	j.boundRequeue(&h)
 	from := time.Now()
-	ctx = wire.Lane(ctx, x.lane(j))
-	if j.entry.Owner == x.P.Node {
-		j.back = x.own(ctx, h)
-	} else {
-		j.back = x.away(ctx, j, h, left)
-	}
+	a, ctx := x.beginAttempt(wire.Lane(ctx, x.lane(j)), j, h.Attempt)
+	back := x.send(ctx, j, h)
+	if a != nil {
+		// From here on the request is changed by nobody else.
+		a.close(h.Attempt)
+		defer a.end()
+		defer a.settle()
+	}
+	j.back = back
 	if j.back.Kind == session.Done {
 		x.kin.told(j.path.Name, j.back.Inner)
 	}
@@ -175,16 +181,19 @@
 	return next
 }
 
+// send has an attempt run, here or at another node.
+func (x *Proxy) send(ctx context.Context, j *job, h session.Hand) session.Back {
+	if j.entry.Owner == x.P.Node {
+		return x.own(ctx, h)
+	}
+	return x.away(ctx, j, h)
+}
+
 // noReceipt is why an attempt ends whose owner, or the link to it, said no more.
 const noReceipt = "no receipt from the owner"
 
 // away hands the attempt over to another node and checks what comes back.
-func (x *Proxy) away(ctx context.Context, j *job, h session.Hand, left time.Duration) session.Back {
-	if time.Until(j.end)-left > left/8 {
-		var end context.CancelFunc
-		ctx, end = context.WithTimeout(ctx, left)
-		defer end()
-	}
+func (x *Proxy) away(ctx context.Context, j *job, h session.Hand) session.Back {
 	// A large body waits for the link no longer than for a slot.
 	if j.arm.Bulk != "" {
 		ctx = wire.Due(ctx, time.Now().Add(x.queueWaitBound()))
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -21,6 +21,9 @@
 	x.stop.Store(plan)
 	// Large answers that wait for a thin link on their way here go first now.
 	x.n.Haste()
+	// What is under way and won't end in time may have its answer from elsewhere.
+	x.notifyEnds(plan)
+	x.attemptsWaitUntil(plan.WaitUntil())
 	ctx, end := context.WithDeadline(x.g.Context(), plan.WaitUntil())
 	defer end()
 	// Callers learn from readiness, which the platform polls; until they had
--- a/internal/proxy/trail.go
+++ b/internal/proxy/trail.go
@@ -17,6 +17,7 @@
 	stepEnded     = "run-ended"   // the owner closed the connection on which it ran
 	stepKept      = "run-kept"    // it runs on, since it may not be run again
 	stepUnknown   = "unknown"     // the owner has no answer of the worker, which may have run it
+	stepHedged    = "hedged"      // the front began a second attempt beside the one at the worker
 	// The front answered a request that may have run, without its worker's answer.
 	stepUnanswered = "unanswered"
 )
--- a/internal/proxy/weigh.go
+++ b/internal/proxy/weigh.go
@@ -45,6 +45,7 @@
 	}
 	if j.lost == nil {
 		j.lost = &lostAttempt{Back: j.back, entry: j.entry}
+		j.borrows = j.borrows || j.back.Stopped > 0 || x.stop.Load() != nil
 	}
 	// It may have run, so only a path declared safe is tried again.
 	if j.arm.Safe && more {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -176,9 +176,23 @@
 	Wait    int64               `msgpack:"wt,omitempty"` // ms that it may wait for a slot at most; 0: as the owner sees fit
 	Stay    int64               `msgpack:"st,omitempty"` // of one that was refused elsewhere: ms of waiting that it has left; 0: no bound of its own
 	Safe    bool                `msgpack:"sf,omitempty"` // it may run again: its run ends when its caller leaves
+	Usual   int64               `msgpack:"us,omitempty"` // ms that such requests run at a worker, as the front knows; 0: it does not
+	Unpaid  bool                `msgpack:"up,omitempty"` // its front has no repeat left; the owner's part of the bound pays for it, or it is refused
+	Last    bool                `msgpack:"la,omitempty"` // another run of it is or will be lost: better one that may not end in time than none
+	Any     bool                `msgpack:"an,omitempty"` // of such a one: no other worker took it, so better one whose node ends than none
 	Rest    int64               `msgpack:"re,omitempty"` // ms until the front, told to end, waits for answers no more; 0: it was not told to
 }
 
+// RunEndsKind is the kind of message by which the node beside a worker, told to end,
+// tells the front of an attempt by when it ends the run.
+const RunEndsKind = "run.ends"
+
+// RunEnds names an attempt, and the ms until its run is ended.
+type RunEnds struct {
+	Attempt string `msgpack:"a"`
+	Left    int64  `msgpack:"l"`
+}
+
 // WorkerLeaves is the kind of message by which a node has a control node note that
 // its worker leaves, before it acknowledges that.
 const WorkerLeaves = "worker.leaves"
--- /dev/null
+++ b/internal/sim/repeatsofothers_test.go
@@ -0,0 +1,63 @@
+package sim
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"puffincrank/internal/stand"
+)
+
+// TestRepeatsOfOthers: a stop makes more repeats necessary than the front has left. The
+// nodes beside the workers that take them pay for the others, each from its own part, so
+// that the bound of the mesh holds: one for each node here.
+//
+// Fronts in a stop gave requests up with "no repeats are left" while hardly any other
+// node had used its part.
+func TestRepeatsOfOthers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, workers = 12, 4
+		s := small()
+		s.Nodes = nodes
+		s.Took["pages"] = 4500 * time.Millisecond
+		s.Doc = strings.Replace(s.Doc, `"class":"reading","left_ms":1000`, `"class":"reading","left_ms":60000,"aim_ms":50000`, 1)
+		s.Doc = strings.Replace(s.Doc, `{"services"`, `{"limits":{"repeat_share":0,"repeat_allowance":12},"services"`, 1)
+		f := NewFleet(t, s, 466)
+		f.Told = map[string]any{"window_ms": json.Number("60000")}
+		defer f.Stop()
+		f.Start()
+		line := s.Lines[0]
+		line.Left = "60000"
+		front, owner := f.other("pages"), f.ofService("pages")
+		Wait(62 * time.Second)
+		for range 3 {
+			f.atFront(front, line, 8)
+		}
+		owner.Worker.Behave(stand.Way{Took: 80 * time.Second})
+		before := owner.Worker.Runs()
+		ended := make(chan []stand.Call, 1)
+		f.g.Go("call", func(context.Context) { ended <- f.atFront(front, line, 3*slowRequests) })
+		Wait(8 * time.Second)
+		many := owner.Worker.Runs() - before
+		if many <= workers {
+			t.Fatalf("%d requests are at the slow worker: the test shows nothing", many)
+		}
+		f.g.Go("stop-owner", func(context.Context) { owner.Proxy.Stop() })
+		Wait(owner.Proxy.P.Grace * 224 / 600)
+		front.Proxy.Stop()
+		lost := 0
+		for _, c := range <-ended {
+			if c.Status != 200 {
+				lost++
+			}
+		}
+		// One repeat of the front, and one of each other worker's node.
+		if answered := many - lost; answered != workers {
+			t.Errorf("%d of %d requests were answered by a repeat, %d could be", answered, many, workers)
+		}
+	})
+}
--- a/internal/wire/cancel.go
+++ b/internal/wire/cancel.go
@@ -10,7 +10,8 @@
 // what they were asked to.
 const abandon = "call.abandon"
 
-// Abandonable makes calls of a kind end when their askers no longer wait: the
+// Abandonable makes calls of a kind end when their askers no longer wait, and lets
+// their takers notify the askers: the
 // context of the taker is cancelled when the asker's was, or when the link over
 // which the receipt would go has ended. Both sides say so, before Listen. A
 // context that ended by its deadline, or was cancelled with a cause of its own
@@ -89,13 +90,14 @@
 }
 
 // heeds is the same on a road: the context of a call that ends with the asker's.
-func (n *Node) heeds(asker context.Context, t *taker) (ctx context.Context, over func()) {
+func (n *Node) heeds(waits context.Context, from *Node, t *taker) (ctx context.Context, over func()) {
 	ctx, stop := context.WithCancel(n.g.Context())
 	if !t.ends {
 		return ctx, stop
 	}
-	ignore := context.AfterFunc(asker, func() {
-		if Abandoned(asker) {
+	ctx = context.WithValue(ctx, askerKey{}, &asker{road: n.road, from: from, here: n})
+	ignore := context.AfterFunc(waits, func() {
+		if Abandoned(waits) {
 			stop()
 		}
 	})
--- a/internal/wire/road.go
+++ b/internal/wire/road.go
@@ -200,7 +200,7 @@
 			return nil, fault.New(fault.Refused, "kind %q is not spoken here", kind)
 		}}
 	}
-	under, stop := far.heeds(ctx, t)
+	under, stop := far.heeds(ctx, n, t)
 	defer stop()
 	if i.left > 0 {
 		var end context.CancelFunc
--- a/internal/wire/take.go
+++ b/internal/wire/take.go
@@ -82,6 +82,9 @@
 		if h.lane > Control {
 			ctx = context.WithValue(ctx, cameKey{}, &came{l, h.lane})
 		}
+		if t.ends {
+			ctx = context.WithValue(ctx, askerKey{}, &asker{link: l})
+		}
 		out, err := t.run(ctx, l.hail, f)
 		l.receipt(h, t.kind, out, err, end)
 	})
