--- a/internal/stand/play/draft.go
+++ b/internal/stand/play/draft.go
@@ -73,7 +73,7 @@
 func (d *Draft) Doc() *witness.Doc {
 	c := &witness.Doc{Number: d.Number, Raw: d.JSON()}
 	for _, w := range d.Ways {
-		c.Paths = append(c.Paths, witness.Path{Name: w.Name, Host: w.Host, Prefix: w.Prefix, Repeat: w.Repeat == "safe" || w.Repeat == "download", Services: w.Split, Left: w.Left})
+		c.Paths = append(c.Paths, witness.Path{Name: w.Name, Host: w.Host, Prefix: w.Prefix, Repeat: w.Repeat == "safe" || w.Repeat == "download", Services: w.Split, Left: w.Left, Tries: w.Tries})
 	}
 	return c
 }
--- a/internal/stand/witness/answers.go
+++ b/internal/stand/witness/answers.go
@@ -61,6 +61,9 @@
 				w.blame(Mixed, "%s at %s: %d bytes, the worker's body has %d", t.ID, t.Front, g.Body.Size, v.Gave.Size)
 			}
 		}
+		if g.Status/100 != 2 && v != nil && v.Try == t && v.Status != g.Status {
+			w.blame(Mixed, "%s at %s: %d with a worker's stamp, the worker answered %d", t.ID, t.Front, g.Status, v.Status)
+		}
 		// A repeatable one may have run elsewhere; the others never.
 		if promise(g.Status) && !t.Repeat && t.runs() > 0 {
 			w.blame(Refused, "%s at %s got %d and ran at %s", t.ID, t.Front, g.Status, t.ran().Worker.Name)
@@ -103,27 +106,52 @@
 	}
 }
 
-// denied counts the mesh's own 3xx and 4xx to proper ones.
+// deniedOutOfTouch is how many proper ones machines out of touch may turn away in a
+// whole day, for want of a path or a right.
+const deniedOutOfTouch = 10
+
+// denied counts the mesh's own 3xx and 4xx to proper ones. Of machines out of touch a
+// 401, 403 or 404 counts for what all documents of the day allow.
 func (w *Witness) denied() {
-	n := 0
+	n, out := 0, 0
 	var last []*Try
 	for _, t := range w.order {
 		s := t.Got.Status
-		if s/100 != 3 && s/100 != 4 || promise(s) || !t.own() || !w.Touch.through(t.Front, t.From, t.End) {
+		if s/100 != 3 && s/100 != 4 || promise(s) || !t.own() {
 			continue
 		}
-		if w.proper(t) {
-			n++
-			last = append(last, t)
+		switch {
+		case w.Touch.through(t.Front, t.From, t.End):
+			if !w.proper(t) {
+				continue
+			}
+		case s != 401 && s != 403 && s != 404 || !w.alwaysAllowed(t):
+			continue
+		default:
+			out++
 		}
+		n++
+		last = append(last, t)
 	}
-	if float64(n) > 5+float64(len(w.order))/500 {
+	if float64(n) > 5+float64(len(w.order))/500 || out > deniedOutOfTouch {
 		for _, t := range last {
 			w.blame(Denied, "%s (%s%s) at %s got %d at %s: %s", t.ID, t.Host, t.URI, t.Front, t.Got.Status, stamp(t.End), t.Got.Why)
 		}
 	}
 }
 
+// alwaysAllowed tells that each document of the day allows a try.
+func (w *Witness) alwaysAllowed(t *Try) bool {
+	n := 0
+	for _, d := range w.docs {
+		if d.Broken == "" && d.Match(t.Host, t.URI) == nil {
+			return false
+		}
+		n++
+	}
+	return n > 0
+}
+
 // proper tells that every document that may be in force allows a try.
 func (w *Witness) proper(t *Try) bool {
 	low := w.newest(t.From.Add(-w.B.Change))
@@ -144,8 +172,8 @@
 func (w *Witness) Verdict() (map[string]int, []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, check := range []func(){w.answers, w.unasked, w.denied, w.drains, w.unready, w.gone, w.broken, w.keptCuts, w.held, w.handed, w.oldDocs, w.stepsBack, w.readBacks, w.added,
-		w.budget, w.recovers, w.locks, w.orders, w.keys, w.watches, w.acks} {
+	for _, check := range []func(){w.answers, w.unasked, w.denied, w.drains, w.unready, w.gone, w.broken, w.keptCuts, w.held, w.handed, w.oldDocs, w.stepsBack, w.readBacks, w.added, w.splits,
+		w.budget, w.beyondTries, w.recovers, w.locks, w.orders, w.keys, w.watches, w.acks} {
 		check()
 	}
 	return w.bad, w.notes
--- a/internal/stand/witness/day_test.go
+++ b/internal/stand/witness/day_test.go
@@ -121,7 +121,7 @@
 // blamed, and no rule is without a breach here.
 func TestBreaches(t *testing.T) {
 	caught := map[string]bool{}
-	for _, list := range [][]breach{answers(), docs(), leaving(), ownerEnding(), readiness(), keptCuts(), times(), gone(), coords(), budgets()} {
+	for _, list := range [][]breach{answers(), docs(), leaving(), ownerEnding(), readiness(), triesAndDenials(), splitDays(), keptCuts(), times(), gone(), coords(), budgets()} {
 		judge(t, list)
 		for _, b := range list {
 			caught[b.rule] = true
--- a/internal/stand/witness/docs.go
+++ b/internal/stand/witness/docs.go
@@ -11,6 +11,7 @@
 	Repeat             bool
 	Services           map[string]int // weight; one of 0 gets nothing
 	Left               time.Duration
+	Tries              int // workers that one try may go to; 0: not told
 }
 
 // Doc is one document that an operator sent, and what became of it.
