Signals during a stop are told of; hedging in a front's own stop begins a little earlier

Event 110 tells of each signal that comes during a stop; TestToldAgain. Soak: stops in steps that overlap, orders to end that come twice.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -12,6 +12,7 @@
 	SettingsTaken = Kind{107, "settings-taken", "changed settings were taken up", false}
 	SettingsLater = Kind{108, "settings-later", "changed settings hold only after a restart", true}
 	SettingsBad   = Kind{109, "settings-bad", "changed settings are wrong; those of before stay in force", true}
+	ToldAgain     = Kind{110, "told-again", "a signal came during a polite stop; the grace period counts from the first order", false}
 	BadLink       = Kind{201, "bad-link", "a link broke the frame or hello rules and was closed", true}
 	Unspoken      = Kind{202, "unspoken", "a message kind is not known here and was refused by name", true}
 	Mute          = Kind{203, "mute-link", "nothing came in on a link under calls, not even after a ping; it was ended", true}
@@ -69,7 +70,7 @@
 )
 
 // Catalogue lists every kind in order.
-var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, BadLink, Unspoken, Mute, LinkEnded,
+var Catalogue = []Kind{Started, Ready, Unready, Stopping, Stopped, Froze, SettingsTaken, SettingsLater, SettingsBad, ToldAgain, BadLink, Unspoken, Mute, LinkEnded,
 	Founded, Promised, Damaged, Mended, Checkpointed, DiskBad, DiskWell, Joining, Refilled, Replaced, Foreign, Unsafe, CoreSmall, StateLarge, SnapshotBad, Left, Chosen, Reopened,
 	Won, Lost, SessionUp, SessionDown, OutOfTouch, InTouch, Unsure,
 	Registered, Unregistered, Down, Retired, Afresh, Evicted, Draining, WorkerState, CallLate,
--- a/internal/fleetrun/soak/nodetroubles.go
+++ b/internal/fleetrun/soak/nodetroubles.go
@@ -41,10 +41,28 @@
 	over.Wait()
 }
 
+// rollInSteps stops one node after the other, each a step after the one before it is
+// told to end: where a request came and where it is at work both end, one a step or
+// several after the other.
+func (f *fleet) rollInSteps(r *rand.Rand) {
+	var over sync.WaitGroup
+	step := span(r, 700*time.Millisecond, 1300*time.Millisecond)
+	for range 3 + r.IntN(1+len(f.machines)/3) {
+		own := rand.New(rand.NewPCG(r.Uint64(), 95))
+		over.Add(1)
+		f.g.Go("roll-in-steps", func(context.Context) {
+			defer over.Done()
+			f.with(own, witness.Planned+"roll", func(m *machine) { f.stopBesideSettings(m, own) })
+		})
+		pause(step)
+	}
+	over.Wait()
+}
+
 // stopBesideSettings stops a node that is told to read its settings before, meanwhile
-// or not at all.
+// or not at all, or to end once more.
 func (f *fleet) stopBesideSettings(m *machine, r *rand.Rand) {
-	when := r.IntN(3)
+	when := r.IntN(4)
 	if when == 0 {
 		f.reread(m)
 		pause(span(r, time.Millisecond, 300*time.Millisecond))
@@ -56,6 +74,13 @@
 			m.node.Signal(syscall.SIGHUP)
 		})
 	}
+	if when == 2 {
+		late, process := span(r, time.Millisecond, 4*time.Second), m.node
+		f.g.Go("told-again", func(context.Context) {
+			pause(late)
+			process.Signal(syscall.SIGTERM)
+		})
+	}
 	f.stopNode(m, r)
 }
 
--- a/internal/fleetrun/soak/troubles.go
+++ b/internal/fleetrun/soak/troubles.go
@@ -50,6 +50,8 @@
 	{"nodes are stopped in turn", false, (*fleet).roll},
 	{"several nodes are stopped at once", false, (*fleet).rollAtOnce},
 	{"several nodes are stopped at once", false, (*fleet).rollAtOnce},
+	{"nodes are stopped in steps that overlap", false, (*fleet).rollInSteps},
+	{"nodes are stopped in steps that overlap", false, (*fleet).rollInSteps},
 	{"settings are read again, in series", false, (*fleet).hangup},
 	{"a worker leaves", false, (*fleet).workerLeaves},
 	{"a series of changes", false, (*fleet).changes},
--- a/internal/proxy/hedgetime.go
+++ b/internal/proxy/hedgetime.go
@@ -4,13 +4,14 @@
 
 // When a second attempt is begun, in usual times of such requests: beside a run that its
 // node will end, when so much is left of it, and earlier if it has lasted for
-// hedgeOverdue; and beside any run that has lasted so long, at a front that was told to
-// end and still has hedgeLeast.
+// hedgeOverdue; and beside any run that has lasted for hedgeOverdueInStop, at a front
+// that was told to end and still has hedgeLeast: what it waits for in vain is lost.
 const (
-	hedgeLatest   = 1.5
-	hedgeEarliest = 3
-	hedgeOverdue  = 2
-	hedgeLeast    = 1
+	hedgeLatest        = 1.5
+	hedgeEarliest      = 3
+	hedgeOverdue       = 2
+	hedgeOverdueInStop = 1.5
+	hedgeLeast         = 0.75
 )
 
 // usualTimes is so many times what a request usually takes.
@@ -38,6 +39,6 @@
 // hedgeInStop is when a second attempt is begun beside a run that is waited for until a
 // time. One that is not overdue has as good a chance as another. False: not at all.
 func hedgeInStop(begun, waits time.Time, usual time.Duration) (at time.Time, ok bool) {
-	at = begun.Add(usualTimes(hedgeOverdue, usual))
+	at = begun.Add(usualTimes(hedgeOverdueInStop, usual))
 	return at, usual > 0 && !at.After(waits.Add(-usualTimes(hedgeLeast, usual)))
 }
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -3,11 +3,13 @@
 package run
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	// The C library is linked as usual: the platform wants its programs dynamic.
 	_ "os/user"
@@ -17,8 +19,10 @@
 
 	"puffincrank/internal/disk"
 	"puffincrank/internal/env"
+	"puffincrank/internal/event"
 	"puffincrank/internal/props"
 	"puffincrank/internal/settings"
+	"puffincrank/internal/task"
 	"puffincrank/internal/tongue"
 	"puffincrank/internal/version"
 )
@@ -113,10 +117,31 @@
 	for {
 		select {
 		case <-ends:
-			prog.Stop()
+			stop(prog, ends, again, e.Log)
 			return 0
 		case <-again:
 			w.read()
 		}
 	}
 }
+
+// stop ends a program politely. Orders that come meanwhile change nothing, since its
+// grace period counts from the first; they are told of.
+func stop(prog Program, ends, again <-chan os.Signal, log *event.Log) {
+	stopped := make(chan struct{})
+	g := task.New(context.Background())
+	g.Go("stop", func(context.Context) {
+		prog.Stop()
+		close(stopped)
+	})
+	for from := time.Now(); ; {
+		select {
+		case <-stopped:
+			return
+		case s := <-ends:
+			log.Emit(event.ToldAgain, "signal", s, "after_ms", time.Since(from).Milliseconds())
+		case s := <-again:
+			log.Emit(event.ToldAgain, "signal", s, "after_ms", time.Since(from).Milliseconds())
+		}
+	}
+}
--- a/internal/run/signals_test.go
+++ b/internal/run/signals_test.go
@@ -1,14 +1,18 @@
 package run
 
 import (
+	"context"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"puffincrank/internal/env"
+	"puffincrank/internal/event"
 	"puffincrank/internal/props"
+	"puffincrank/internal/task"
 )
 
 // helper is set in the process that plays a program.
@@ -63,3 +67,37 @@
 		})
 	}
 }
+
+// slowStop is a program that takes a while to end.
+type slowStop struct{ told chan struct{} }
+
+func (slowStop) Start() error { return nil }
+func (p slowStop) Stop()      { <-p.told }
+
+// TestToldAgain: signals that come during a stop neither end it nor are lost: each is
+// told of in the log, and the stop goes on.
+func TestToldAgain(t *testing.T) {
+	ends, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	var said []string
+	log := event.New("n", nil)
+	told := make(chan struct{}, 2)
+	log.Tell(func(e event.Entry) { said = append(said, e.Name+" "+e.Say); told <- struct{}{} })
+	p := slowStop{make(chan struct{})}
+	over := make(chan struct{})
+	g := task.New(t.Context())
+	g.Go("stop", func(context.Context) { stop(p, ends, again, log); close(over) })
+	ends <- syscall.SIGTERM
+	<-told
+	again <- syscall.SIGHUP
+	<-told
+	select {
+	case <-over:
+		t.Error("it ended before its stop was over")
+	default:
+	}
+	close(p.told)
+	<-over
+	if len(said) != 2 || !strings.HasPrefix(said[0], "told-again signal=terminated after_ms=") || !strings.HasPrefix(said[1], "told-again signal=hangup") {
+		t.Errorf("told: %q", said)
+	}
+}
