--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -19,9 +19,9 @@
 	{"seal-not-compared", Whole, "internal/proxy/unseal.go",
 		" || headOf(b, x.say.Mark) != seal.Of(v.in.Attempt, v.in.Worker, b.Status, b.Body) {", " || seal.Of(\"\", \"\", 0, nil) == \"\" {", "sim", "TestBadWorkers"},
 	{"seal-without-body", Whole, "internal/seal/seal.go", "	h.Write(body)\n", "	_ = body\n", "sim", "TestBadWorkers"},
-	{"answers-swapped", Whole, "internal/proxy/way.go", "	good = !w.Close && w.ProtoAtLeast(1, 1) && k.r.Buffered() == 0", "	good = !w.Close && w.ProtoAtLeast(1, 1)\n	if len(body) > 40 {\n		body = body[:len(body)-1]\n	}", "sim", "TestWholePath"},
+	{"answers-swapped", Whole, "internal/workerconn/conn.go", "	good = !w.Close && w.ProtoAtLeast(1, 1) && c.reader.Buffered() == 0", "	good = !w.Close && w.ProtoAtLeast(1, 1)\n	if len(body) > 40 {\n		body = body[:len(body)-1]\n	}", "sim", "TestWholePath"},
 
-	{"nobody-asked", Stranger, "internal/proxy/probe.go", "		if err == nil && named != worker {", "		if err == nil && named == \"\" {", "sim", "TestPassedAddress"},
+	{"nobody-asked", Stranger, "internal/workerconn/open.go", "	if err == nil && named != c.worker {", "	if err == nil && named == \"\" {", "sim", "TestPassedAddress"},
 	{"any-service", Stranger, "internal/replica/index.go", "	return r.index[service]", "	var all []ormap.Entry\n	for _, l := range r.index {\n		all = append(all, l...)\n	}\n	return all", "replica", "TestIndex"},
 
 	{"gate-not-asked", Leaving, "internal/proxy/gate.go", "	if !g.word.After(woke) || time.Since(g.word) > x.P.Missed() {", "	if g.word.IsZero() && woke.IsZero() {", "sim", "TestFrozenOwner"},
--- a/internal/proxy/callerleft.go
+++ b/internal/proxy/callerleft.go
@@ -7,6 +7,7 @@
 	"puffincrank/internal/event"
 	"puffincrank/internal/grace"
 	"puffincrank/internal/wire"
+	"puffincrank/internal/workerconn"
 )
 
 // name is the id by which a job is known outside: its caller's own, if it has one.
@@ -33,7 +34,7 @@
 // whoever sends it anew has it run anew. What may run but once goes on for a caller
 // that left, since its effect may be half done. The result, false if the connection
 // was ended, is called before the connection is used again.
-func (x *Proxy) endsWith(ctx context.Context, v *visit, k *line) (release func() bool) {
+func (x *Proxy) endsWith(ctx context.Context, v *visit, c *workerconn.Conn) (release func() bool) {
 	var mu sync.Mutex
 	over := false
 	stop := context.AfterFunc(ctx, func() {
@@ -52,7 +53,7 @@
 		if ending {
 			v.cut = whyEnding
 		}
-		_ = k.c.Close()
+		_ = c.Close()
 		x.step(v, stepEnded, v.cut)
 		x.runsEnded.Emit(x.e.Log, event.RunEnded, "worker", v.in.Worker, "attempt", v.in.Attempt, "why", v.cut)
 	})
--- a/internal/proxy/deliver.go
+++ b/internal/proxy/deliver.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"puffincrank/internal/session"
+	"puffincrank/internal/workerconn"
 )
 
 // dropped are headers that belong to one connection or to the mesh.
@@ -57,8 +58,8 @@
 	if err != nil {
 		return v.refuse("the job can't be sent on")
 	}
-	k, err := x.way.take(ctx, v.gate.worker, v.gate.addr)
-	if errors.Is(err, errStranger) {
+	c, err := x.conns.Acquire(ctx, v.gate.worker, v.gate.addr)
+	if errors.Is(err, workerconn.ErrStranger) {
 		x.stranger(v.gate)
 		return v.refuse("another stands at the worker's address")
 	}
@@ -68,24 +69,24 @@
 	}
 	// The last look, now that nothing is waited for any more.
 	if !x.timely(ctx, v) || !x.open(v) {
-		x.way.keep(k)
+		x.conns.Release(c)
 		return false
 	}
 	if lacks, ok := x.begun(v); !ok {
-		x.way.keep(k)
+		x.conns.Release(c)
 		return v.later("no repeats are left for "+lacks, x.again.When(lacks))
 	}
 	// From here on the worker may have had the job, whatever an error says.
 	x.step(v, stepSent, "")
 	defer x.noteRemote(ctx, &v.in)()
 	v.back.Came = true
-	release := x.endsWith(ctx, v, k)
-	w, body, err := x.way.send(k, r, v.end, x.surplus(v), release)
+	release := x.endsWith(ctx, v, c)
+	w, body, err := x.conns.RoundTrip(c, r, v.end, x.surplus(v), release)
 	if err != nil && v.cut != "" {
 		return v.unknown(v.cut)
 	}
 	if err != nil {
-		v.stale = errors.Is(err, errForgot)
+		v.stale = errors.Is(err, workerconn.ErrForgotten)
 		return v.unknown("no whole answer from the worker: " + plain(err))
 	}
 	if int64(len(body)) > x.wide() {
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -14,6 +14,7 @@
 	"puffincrank/internal/stand/play"
 	"puffincrank/internal/task"
 	"puffincrank/internal/tongue"
+	"puffincrank/internal/workerconn"
 )
 
 // liar is a worker that reads a request and answers with given bytes.
@@ -50,15 +51,14 @@
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		g := task.New(context.Background())
-		y := newWay(liar{g, text}, g, time.Minute, 4096)
-		y.asks = false
-		defer func() { y.close(); g.Cancel(); g.Stop() }()
-		k, err := y.take(t.Context(), "w", "10.0.0.1:1")
+		pool := workerconn.NewPool(liar{g, text}, g, time.Minute, 4096, false)
+		defer func() { pool.Close(); g.Cancel(); g.Stop() }()
+		c, err := pool.Acquire(t.Context(), "w", "10.0.0.1:1")
 		if err != nil {
 			t.Fatal(err)
 		}
 		r, _ := http.NewRequest("GET", "http://10.0.0.1:1/x", nil)
-		w, body, err := y.send(k, r, time.Now().Add(time.Minute), nil, func() bool { return true })
+		w, body, err := pool.RoundTrip(c, r, time.Now().Add(time.Minute), nil, func() bool { return true })
 		if err != nil {
 			return
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"puffincrank/internal/tongue"
 	"puffincrank/internal/touch"
 	"puffincrank/internal/wire"
+	"puffincrank/internal/workerconn"
 )
 
 // Proxy is one process. Lock order: mu before a gate's own lock.
@@ -48,12 +49,12 @@
 	knows       *recall
 	load        *load
 	trail       trail
-	gone        *event.Limiter // of callers that left
-	runsEnded   *event.Limiter // of runs ended for them
-	unanswered  *event.Limiter // of requests without their worker's answers
-	stopLines   stopLines      // of those, since this node was told to end
-	fitnessNews *newsRate      // of what the mesh is told of its workers' fitness
-	way         *way
+	gone        *event.Limiter   // of callers that left
+	runsEnded   *event.Limiter   // of runs ended for them
+	unanswered  *event.Limiter   // of requests without their worker's answers
+	stopLines   stopLines        // of those, since this node was told to end
+	fitnessNews *newsRate        // of what the mesh is told of its workers' fitness
+	conns       *workerconn.Pool // to the own workers
 	pulse       *pulse.Pulse
 	say         tongue.Tongue
 	door        *http.Server           // where callers come in
@@ -117,8 +118,7 @@
 	x.fitnessNews = newNewsRate(time.Now())
 	x.pulse = pulse.New(p.Beat()/4, p.Gap(), func(gap time.Duration) { e.Log.Emit(event.Froze, "ms", gap.Milliseconds()) })
 	x.touch = newTouch(x)
-	x.way = newWay(e.Net, g, p.Change, int64(max(p.Body, p.Frame/2))+64<<10)
-	x.way.asks = x.say.Asks
+	x.conns = workerconn.NewPool(e.Net, g, p.Change, int64(max(p.Body, p.Frame/2))+64<<10, x.say.Asks)
 	x.life = state.New("starting", nil,
 		state.Move{From: "starting", By: "filled", To: "ready"},
 		state.Move{From: "starting", By: "stop", To: "leaving"},
@@ -172,7 +172,7 @@
 func (x *Proxy) Kill() {
 	x.g.Cancel()
 	x.n.Close()
-	x.way.close()
+	x.conns.Close()
 	x.g.Stop()
 }
 
@@ -182,7 +182,7 @@
 	if x.life.Is("ready") {
 		x.buryOld()
 	}
-	x.way.sweep()
+	x.conns.CloseIdle()
 	x.forgetCalls()
 	x.knows.forget(time.Now())
 	x.mu.Lock()
