Soak: a late second order to end goes to the process it was meant for

Traced: the new trouble tells a node to end a second time up to 4 s after the first, and the signal reached the process that had been started since, whose end nobody undoes.

--- a/internal/fleetrun/process/bind_test.go
+++ b/internal/fleetrun/process/bind_test.go
@@ -9,14 +9,21 @@
 	"time"
 )
 
-// TestMain lets this program be a child that ends at once.
+// TestMain lets this program be a child that ends at once, or waits to be ended.
 func TestMain(m *testing.M) {
-	if os.Getenv("PROCESS_TEST_CHILD") != "" {
+	switch os.Getenv("PROCESS_TEST_CHILD") {
+	case "":
+	case waits:
+		select {}
+	default:
 		return
 	}
 	os.Exit(m.Run())
 }
 
+// waits is the way of a child that waits to be ended.
+const waits = "waits"
+
 // TestBindWhileProcessesStart: an address whose listener has just ended is bound
 // again while other processes are being started, which hold copies of the listener.
 func TestBindWhileProcessesStart(t *testing.T) {
--- a/internal/fleetrun/process/process.go
+++ b/internal/fleetrun/process/process.go
@@ -75,10 +75,14 @@
 }
 
 // Signal sends a signal to the process that was started last.
-func (p *Process) Signal(s syscall.Signal) {
+func (p *Process) Signal(s syscall.Signal) { p.SignalTo(p.ID(), s) }
+
+// SignalTo sends a signal to a process by its number, as long as none was started
+// after it.
+func (p *Process) SignalTo(id int, s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil || p.cmd.Process == nil {
+	if p.cmd == nil || p.cmd.Process == nil || p.cmd.Process.Pid != id {
 		return
 	}
 	if s == syscall.SIGTERM || s == syscall.SIGKILL || s == syscall.SIGINT {
--- a/internal/fleetrun/soak/nodetroubles.go
+++ b/internal/fleetrun/soak/nodetroubles.go
@@ -75,10 +75,10 @@
 		})
 	}
 	if when == 2 {
-		late, process := span(r, time.Millisecond, 4*time.Second), m.node
+		late, id := span(r, time.Millisecond, 4*time.Second), m.node.ID()
 		f.g.Go("told-again", func(context.Context) {
 			pause(late)
-			process.Signal(syscall.SIGTERM)
+			m.node.SignalTo(id, syscall.SIGTERM)
 		})
 	}
 	f.stopNode(m, r)
