A failing second attempt ends no first one; second attempts for time are asked for once

Found by reading the change again: a second attempt that a worker answered with a failure of its own ended the first, which may have been well (TestRunsOutlastTheirNode/the second fails, mutant failure-ends-first).

--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -60,6 +60,7 @@
 	{"hedge-ends-first", Planned, "internal/proxy/hedge.go", "	a.second = s\n", "	a.second = s\n	a.end()\n", "sim", "TestRunsOutlastTheirNode"},
 	{"lost-run-refused", Planned, "internal/proxy/ending.go", "	if v.in.Last && x.mayStillEnd(v) {", "	if v.in.Last && x.mayStillEnd(v) && v.in.Worker == \"\" {", "sim", "TestRunsOutlastTheirNode"},
 	{"unknown-times-begun", Planned, "internal/proxy/ending.go", "	if need == 0 {\n		own = 0\n	}\n", "", "sim", "TestFreshNodeInStop"},
+	{"failure-ends-first", Planned, "internal/proxy/hedge.go", "	case s.request.answered():\n", "	case s.request.back.Kind == session.Done:\n", "sim", "TestRunsOutlastTheirNode"},
 	{"second-run-forgotten", Busy, "internal/proxy/hedge.go", "		j.lost = s.lost\n", "", "proxy", "TestMerge"},
 	{"own-stop-unseen", Planned, "internal/proxy/ending.go", "	own := plan.WaitsFor() - 2*need\n", "	own := plan.WaitsFor()\n", "sim", "TestAnswersInStop"},
 	{"ends-before-last-sixth", Planned, "internal/grace/grace.go", "return s.AnswerUntil().Add(-s.length / answerPart) }", "return s.AnswerUntil().Add(-s.length / answerPart * 2) }", "grace", "TestSchedule"},
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -47,7 +47,7 @@
 	by map[string]*attempt
 }
 
-// begin notes an attempt; the context is that of the attempt. Nil where no second one
+// beginAttempt notes an attempt; the context is that of the attempt. Nil where no second one
 // may follow: the request may not be repeated, or has no other worker or tries left.
 func (x *Proxy) beginAttempt(ctx context.Context, j *job, id string) (*attempt, context.Context) {
 	if !j.arm.Safe || j.came+1 >= j.arm.Tries || j.known <= len(j.tried) {
@@ -111,6 +111,11 @@
 	if a.timer != nil {
 		a.timer.Stop()
 	}
+	a.arm(t)
+}
+
+// arm sets the timer; a.mu is held.
+func (a *attempt) arm(t time.Time) {
 	a.due = t
 	a.timer = time.AfterFunc(time.Until(t), a.hedge)
 }
@@ -119,6 +124,7 @@
 func (a *attempt) hedge() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.timer = nil
 	if a.over || a.second != nil || a.ctx.Err() != nil {
 		return
 	}
@@ -148,8 +154,8 @@
 	return &j
 }
 
-// runSecond sends the copy. Its answer ends the first attempt; where no worker took it,
-// it is tried again while there is time for that.
+// runSecond sends the copy. A worker's answer ends the first attempt; where no worker took
+// it and a stop will end the first, it is tried again as long as that goes on.
 func (a *attempt) runSecond(ctx context.Context, s *secondAttempt) {
 	defer s.end()
 	a.x.run(ctx, s.request)
@@ -158,13 +164,14 @@
 	defer close(s.done)
 	switch {
 	case a.over:
-	case s.request.back.Kind == session.Done:
+	case s.request.answered():
 		a.end()
 	case s.request.came <= a.request.came+1:
 		// It came to no worker.
 		a.second, a.sends = nil, s.request.sends
-		a.due = time.Now().Add(a.x.pauseForLost(s.request.come))
-		a.timer = time.AfterFunc(time.Until(a.due), a.hedge)
+		if a.stops {
+			a.arm(time.Now().Add(a.x.pauseForLost(s.request.come)))
+		}
 	}
 }
 
@@ -179,7 +186,7 @@
 	if s == nil {
 		return
 	}
-	if j.back.Kind == session.Done && j.back.Status < 500 {
+	if j.answered() {
 		s.end()
 		a.x.g.Go("hedge-dropped", func(context.Context) {
 			<-s.done
@@ -204,6 +211,9 @@
 	}
 }
 
+// answered tells that a worker has answered, and not with a failure of its own.
+func (j *job) answered() bool { return j.back.Kind == session.Done && j.back.Status < 500 }
+
 // merge takes in what became of a second attempt: its answer, if it has a better one,
 // and that it may have run without one.
 func (j *job) merge(s *job) {
@@ -218,7 +228,7 @@
 	}
 }
 
-// attemptsEnd tells all attempts under way that this node waits for them no longer than
+// attemptsWaitUntil tells all attempts under way that this node waits for them no longer than
 // until a time.
 func (x *Proxy) attemptsWaitUntil(t time.Time) {
 	x.attempts.mu.Lock()
--- a/internal/proxy/outer.go
+++ b/internal/proxy/outer.go
@@ -216,6 +216,9 @@
 // Owned counts the attempts under way at this node's worker.
 func (x *Proxy) Owned() int64 { return x.owned.Load() }
 
+// Hedges counts the second attempts that were begun beside first ones.
+func (x *Proxy) Hedges() int64 { return x.hedges.Load() }
+
 // Asked counts the repeats that this front's jobs asked for.
 func (x *Proxy) Asked() int64 { return x.again.Asked() }
 
