review: end the processes of a case when its script is ended by a signal

Cause: a script that gets SIGTERM or SIGINT left its processes behind.

Change: the stand-ins end all processes and exit with 2.

Measured: no process left after a SIGTERM in the middle of case 1; exit code 2.

--- a/review/run/mesh/mesh.go
+++ b/review/run/mesh/mesh.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -84,6 +85,12 @@
 func New(caseDir string, services ...string) *Mesh {
 	m := &Mesh{Start: time.Now()}
 	var err error
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		m.Fail("ended by a signal")
+	}()
 	if m.record, err = os.Create(filepath.Join(caseDir, "record.txt")); err != nil {
 		fmt.Println(err)
 		os.Exit(2)
