rules: a prefix has to begin the path, at ingress and owner alike

Cause: a prefix was stored, and the path looked up, without their last slashes, so a path that lacks the slash got the route of a prefix that doesn't begin it, with its service, type and tries. Besides, the ingress matched a normalized path and the owner the one sent.

Change: routes are matched by what begins the path, letter for letter and by whole segments; /pages and /pages/ are two prefixes. All places read the path by rules.PathOf from the target that the worker is sent. The owner matches each request again: an ingress of an earlier release, which may repeat what must run once, is refused unrun. puffinctl config check and apply name the paths that no longer match without the slash.

--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -146,6 +146,7 @@
 		return m.withDocument(c.Check.File, func(doc []byte) int {
 			return m.call(http.MethodPost, "/puffin/config/check", doc, func([]byte) error {
 				_, err := fmt.Fprintln(m.stdout, "the document is good")
+				m.notePrefixes(doc)
 				return err
 			})
 		})
@@ -170,6 +171,7 @@
 				if got.Trial > 0 {
 					fmt.Fprintf(m.stdout, "its paths are rehearsed as trial %d\n", got.Trial)
 				}
+				m.notePrefixes(doc)
 				return err
 			})
 		})
--- a/internal/fleetrun/soak/controldisruptions.go
+++ b/internal/fleetrun/soak/controldisruptions.go
@@ -113,7 +113,7 @@
 	draft := f.draft.Copy()
 	draft.Number += 1 + uint64(r.IntN(5))
 	f.draft = draft
-	route := &draft.Routes[r.IntN(len(draft.Routes))]
+	route := &draft.Routes[r.IntN(len(f.lines))]
 	route.Timeout = route.Timeout * time.Duration(90+r.IntN(21)) / 100
 	return draft
 }
--- a/internal/fleetrun/soak/deployment.go
+++ b/internal/fleetrun/soak/deployment.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// edgeRatePerMachine is the number of requests per second and machine to the edges of prefixes.
+const edgeRatePerMachine = 0.4
+
 // routeTargets has the service, retry policy and rank for each kind of request.
 var routeTargets = map[string]struct {
 	service, retryPolicy string
@@ -64,6 +67,7 @@
 		target := routeTargets[line.Kind]
 		draft.Routes = append(draft.Routes, actors.RouteDraft{Name: "p-" + line.Kind, Host: line.Host, Prefix: line.Prefix, RetryMode: target.retryPolicy, Split: map[string]int{target.service: 1}, Timeout: line.RouteTimeout, TargetLatency: line.TargetLatency, MaxAttempts: 2, Priority: target.rank})
 	}
+	draft.Routes = append(draft.Routes, actors.NestedRoutes(draft.Routes)...)
 	return draft
 }
 
--- a/internal/fleetrun/soak/run.go
+++ b/internal/fleetrun/soak/run.go
@@ -117,7 +117,8 @@
 // runLoad runs the load, the applications and the disruptions.
 func (f *fleet) runLoad() {
 	for _, m := range f.machines {
-		for _, l := range f.lines {
+		edges := actors.EdgeRequests(f.lines, edgeRatePerMachine*float64(len(f.machines)))
+		for _, l := range append([]*actors.RequestKind{edges}, f.lines...) {
 			if l.Rate <= 0 {
 				continue
 			}
--- a/internal/proxy/callworker.go
+++ b/internal/proxy/callworker.go
@@ -36,22 +36,15 @@
 	return forwarded
 }
 
-// requestTarget gives the target exactly as the caller sent it, so that no character changes on
-// the way.
-func requestTarget(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
+// requestTarget returns the target that the worker is sent. Where attempts keep the IDs of their
+// callers it is exactly what the caller sent, so that no character changes on the way.
+func (x *Proxy) requestTarget(r *http.Request) string {
+	if x.dialect.KeepsAttemptID && strings.HasPrefix(r.RequestURI, "/") {
 		return r.RequestURI
 	}
 	return r.URL.RequestURI()
 }
 
-func urlPath(uri string) string {
-	if i := strings.IndexAny(uri, "?#"); i >= 0 {
-		return uri[:i]
-	}
-	return uri
-}
-
 // callWorker sends the request to the worker, once.
 func (x *Proxy) callWorker(ctx context.Context, attempt *ownerAttempt) bool {
 	req, err := x.workerRequest(ctx, attempt)
--- a/internal/proxy/configmismatch.go
+++ b/internal/proxy/configmismatch.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"puffincrank/internal/controlclient"
+	"puffincrank/internal/rules"
 	"puffincrank/internal/task"
 )
 
@@ -20,7 +21,7 @@
 	}
 	for range 4 {
 		if current := x.rules.Load(); current.Version != req.rules.Version {
-			if route := current.Match(req.httpReq.Host, req.httpReq.Method, req.httpReq.URL.EscapedPath()); route != nil {
+			if route := current.Match(req.httpReq.Host, req.httpReq.Method, rules.PathOf(req.target)); route != nil {
 				req.rules, req.route, req.arm = current, route, route.Arm(req.id)
 				req.service = req.arm.ServiceFor(req.id)
 				req.tried = map[string]bool{}
--- a/internal/proxy/ingress.go
+++ b/internal/proxy/ingress.go
@@ -23,6 +23,7 @@
 	arm              *rules.Arm
 	service          string // of the arm, for this request
 	httpReq          *http.Request
+	target           string // as it is sent to the worker; its path decides the route everywhere
 	body             []byte
 	receivedAt       time.Time
 	deadline         time.Time
@@ -163,7 +164,8 @@
 	if headerTooLarge(req.rules, req.httpReq) {
 		return http.StatusRequestHeaderFieldsTooLarge, "the header is over the bound"
 	}
-	req.route = req.rules.Match(req.httpReq.Host, req.httpReq.Method, req.httpReq.URL.EscapedPath())
+	req.target = x.requestTarget(req.httpReq)
+	req.route = req.rules.Match(req.httpReq.Host, req.httpReq.Method, rules.PathOf(req.target))
 	if req.route == nil {
 		return http.StatusNotFound, "no path of the configuration matches"
 	}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -32,6 +32,7 @@
 	releaseResponse func() // releases the space reserved for its response
 	admission       admission.Request
 	localVersion    uint64 // set if it differs from the version of the request
+	checkedVersion  uint64 // by which the request was found to have the route that its ingress named
 }
 
 // The owner's checks, run in order until one of them sets the result.
@@ -125,51 +126,6 @@
 	return x.confirmConfig(ctx, attempt)
 }
 
-// confirmConfig tells whether the request may run by the configuration held here. The bound on
-// how long older versions are used counts from when a request was sent: if the ingress was
-// confirmed after it had read the request, the request may run by that version at any time.
-// Otherwise the owner has to be confirmed. If both are disconnected from the control plane,
-// both act by what they have.
-func (x *Proxy) confirmConfig(ctx context.Context, attempt *ownerAttempt) bool {
-	if attempt.req.Confidence == protocol.Confirmed {
-		return true
-	}
-	if confidence := x.confirm(ctx, attempt.deadline); confidence == protocol.Confirmed || confidence == protocol.Disconnected && attempt.req.Confidence != protocol.Unconfirmed {
-		return true
-	}
-	return attempt.refuse("owner can't confirm its configuration")
-}
-
-// checkRules admits a request only if the newest configuration here still routes requests of
-// its kind to this service. An ingress that was confirmed in an older version when it had read
-// the request may use that version. One that was not confirmed first takes the newer version
-// from here, since its own may have been replaced long ago.
-func (x *Proxy) checkRules(_ context.Context, attempt *ownerAttempt) bool {
-	newest := x.rules.Load()
-	if newest == nil {
-		return attempt.refuse("owner has no configuration")
-	}
-	if newest.Version == attempt.req.ConfigVersion {
-		return true
-	}
-	attempt.localVersion = newest.Version
-	if newest.Version < attempt.req.ConfigVersion {
-		x.control.HeartbeatNow()
-		return attempt.refuseMismatch("owner's configuration is older than the job's")
-	}
-	if attempt.req.Confidence == protocol.Disconnected || attempt.req.Confidence == protocol.Unconfirmed {
-		return attempt.refuseMismatch("a newer configuration is known than the job's front was sure of")
-	}
-	route := newest.Match(attempt.req.Host, attempt.req.Method, urlPath(attempt.req.URI))
-	if route == nil || (!route.Base.RoutesTo(attempt.req.Service) && (route.Trial == 0 || !route.New.RoutesTo(attempt.req.Service))) {
-		return attempt.refuseMismatch("a newer configuration doesn't send this job here")
-	}
-	if _, ok := newest.Shares[attempt.req.Class]; !ok {
-		return attempt.refuseMismatch("a newer configuration has no such class")
-	}
-	return true
-}
-
 func (x *Proxy) checkWorker(_ context.Context, attempt *ownerAttempt) bool {
 	x.nested.recordCaller(attempt.req.Route, attempt.req.CallerService)
 	attempt.worker = x.findWorker(attempt.req.Worker)
--- a/internal/proxy/steps.go
+++ b/internal/proxy/steps.go
@@ -131,12 +131,9 @@
 	remaining := time.Until(req.deadline)
 	out := protocol.AttemptRequest{RequestID: req.id, AttemptID: fmt.Sprintf("%s.%d", req.id, req.attempts), Route: req.route.Name, Arm: req.arm.Name,
 		ConfigVersion: req.rules.Version, Service: req.service, Class: req.arm.Class, Worker: req.entry.Worker,
-		Host: req.httpReq.Host, Method: req.httpReq.Method, URI: req.httpReq.URL.RequestURI(), Header: x.forwardedHeaders(req.httpReq.Header), Body: req.body, TimeoutMS: remaining.Milliseconds(),
+		Host: req.httpReq.Host, Method: req.httpReq.Method, URI: req.target, Header: x.forwardedHeaders(req.httpReq.Header), Body: req.body, TimeoutMS: remaining.Milliseconds(),
 		WorkerAttemptID: req.callerAttemptID, CallerService: x.currentSettings().Service, Retry: req.reached > 0, NestedRetryShare: req.retryShare, Confidence: req.confidence, MaxQueueMS: x.maxQueueWait().Milliseconds(), IngressWaitMS: x.remainingWaitMS(), Repeatable: req.arm.Repeatable, UsualRunMS: x.usualRunTime(req.route.Name).Milliseconds(), AllowUnfinishedRun: req.isHedge || req.lost != nil, AllowStoppingNode: req.allowEndingNode, NeedsRetryBudget: req.needsRetryBudget,
 		TargetMS: time.Until(req.firstSeen.Add(req.arm.Target)).Milliseconds(), ResentByCaller: req.firstSeen.Before(req.receivedAt)}
-	if x.dialect.KeepsAttemptID {
-		out.URI = requestTarget(req.httpReq)
-	}
 	if out.TimeoutMS <= 0 {
 		req.result = protocol.AttemptResult{Outcome: protocol.Refused, Reason: "no time left", UsedSlots: -1}
 		x.balancer.RecordOutcome(balancer.Outcome{Worker: req.entry.Worker, UsedSlots: -1})
--- a/internal/rules/match.go
+++ b/internal/rules/match.go
@@ -1,22 +1,24 @@
 package rules
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 )
 
 // Match finds the route of a request. A route for the request's host goes before one without a
-// host, then the longest prefix wins, then a route for the method before one for any method. The
-// cost grows with the number of segments of the URL, not with the number of routes.
-func (r *Rules) Match(host, method, url string) *Route {
+// host, then the longest prefix that begins the path wins, then a route for the method before one
+// for any method. The path is one that PathOf returned. The cost grows with the number of its
+// segments, not with the number of routes.
+func (r *Rules) Match(host, method, path string) *Route {
 	if len(r.routesByHost) > 1 || r.routesByHost[""] == nil {
 		if hostName := normalizeHost(host); hostName != "" {
-			if route := r.routesByHost[hostName].match(method, url); route != nil {
+			if route := r.routesByHost[hostName].match(method, path); route != nil {
 				return route
 			}
 		}
 	}
-	return r.routesByHost[""].match(method, url)
+	return r.routesByHost[""].match(method, path)
 }
 
 // normalizeHost returns a host in lower case and without its port.
@@ -28,30 +30,39 @@
 	return strings.ToLower(host)
 }
 
-// hostRoutes holds the routes of one host by method and prefix.
-type hostRoutes map[string]map[string]*Route
+// PathOf returns the path of a request target as it was sent: escapes and doubled slashes stay, and
+// only the query is cut off. Every node reads the path of a request in this way.
+func PathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// hostRoutes holds the routes of one host by method and by prefix without its last slash.
+type hostRoutes map[string]map[string]routePair
 
-func (m hostRoutes) match(method, url string) *Route {
-	if m == nil {
+// routePair holds the routes of two prefixes that differ only by the last slash.
+type routePair struct {
+	bare  *Route // of the prefix without the slash: matches the path itself and all below it
+	below *Route // of the prefix with the slash: matches only what is below it, and takes precedence there
+}
+
+// match returns the route with the longest prefix that begins the path. It looks up what stands
+// before each slash of the path, the longest first.
+func (m hostRoutes) match(method, path string) *Route {
+	if m == nil || !strings.HasPrefix(path, "/") {
 		return nil
 	}
 	exactMethod, anyMethod := m[method], m["any"]
-	for prefix := strings.TrimRight(url, "/"); ; {
-		if prefix == "" {
-			prefix = "/"
-		}
-		if route := exactMethod[prefix]; route != nil {
-			return route
-		}
-		if route := anyMethod[prefix]; route != nil {
+	if route := cmp.Or(exactMethod[path].bare, anyMethod[path].bare); route != nil {
+		return route
+	}
+	for i := strings.LastIndexByte(path, '/'); i >= 0; i = strings.LastIndexByte(path[:i], '/') {
+		exact, other := exactMethod[path[:i]], anyMethod[path[:i]]
+		if route := cmp.Or(exact.below, other.below, exact.bare, other.bare); route != nil {
 			return route
 		}
-		i := strings.LastIndexByte(prefix, '/')
-		if prefix == "/" || i < 0 {
-			return nil
-		}
-		prefix = prefix[:i]
 	}
+	return nil
 }
 
 // RouteByName returns the route of that name, or nil.
--- a/internal/rules/routes.go
+++ b/internal/rules/routes.go
@@ -25,9 +25,6 @@
 			route.New, found = r.compileArm(place+".trial", "new", trialValues)
 			problems = append(problems, found...)
 		}
-		if route.Prefix != "/" {
-			route.Prefix = strings.TrimRight(route.Prefix, "/")
-		}
 		return route, problems
 	}, func(compiled any) (problems []string) {
 		route := compiled.(*Route)
@@ -68,10 +65,17 @@
 		if r.previous != nil {
 			size = len(r.previous.routesByHost[route.Host][route.Method])
 		}
-		byMethod[route.Method] = make(map[string]*Route, size)
+		byMethod[route.Method] = make(map[string]routePair, size)
+	}
+	key, hasSlash := strings.CutSuffix(route.Prefix, "/")
+	pair := byMethod[route.Method][key]
+	entered := &pair.bare
+	if hasSlash {
+		entered = &pair.below
 	}
-	replaced := byMethod[route.Method][route.Prefix]
-	byMethod[route.Method][route.Prefix] = route
+	replaced := *entered
+	*entered = route
+	byMethod[route.Method][key] = pair
 	return replaced
 }
 
--- a/internal/rules/tables.go
+++ b/internal/rules/tables.go
@@ -71,7 +71,7 @@
 		{Name: "name", Type: schema.Text, Required: true, Check: schema.IsName, Rule: "a name, its own", Help: "the path"},
 		{Name: "method", Type: schema.Text, Default: "any", Check: schema.OneOf("any", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"), Rule: "any, GET, HEAD, POST, PUT, PATCH or DELETE", Help: "the method matched"},
 		{Name: "host", Type: schema.Text, Check: checkHost, Rule: "a host name", Help: "the host matched, whatever its case and port; any when left out"},
-		{Name: "prefix", Type: schema.Text, Required: true, Check: checkPrefix, Rule: "begins with /, not under /puffin", Help: "the URL path, by whole segments; the longest match wins"},
+		{Name: "prefix", Type: schema.Text, Required: true, Check: checkPrefix, Rule: "begins with /, not under /puffin", Help: "what the URL path begins with, by whole segments; the longest match wins, see below"},
 		{Name: "service", Type: schema.Text, Check: schema.IsName, Rule: "one of services", Help: "whose workers serve it; this or split"},
 		{Name: "split", Type: schema.Objects, Rule: "one weight over 0", Help: "several services that share its jobs, see below"},
 		{Name: "class", Type: schema.Text, Check: schema.IsName, Rule: "one of classes, required with them", Help: "whose share of the slots it takes"},
--- a/internal/sim/sitelines_test.go
+++ b/internal/sim/sitelines_test.go
@@ -156,6 +156,7 @@
 	for _, l := range d.lines {
 		document.Routes = append(document.Routes, actors.RouteDraft{Name: "p-" + l.Kind, Host: l.Host, Prefix: l.Prefix, RetryMode: d.retryRule[l.Kind], Split: map[string]int{d.serviceByKind[l.Kind]: 1}, Timeout: l.RouteTimeout, TargetLatency: l.TargetLatency, MaxAttempts: 2 + len(l.Kind)%2, Priority: d.rank[l.Kind]})
 	}
+	document.Routes = append(document.Routes, actors.NestedRoutes(document.Routes)...)
 	return document
 }
 
--- a/internal/standin/actors/plain.go
+++ b/internal/standin/actors/plain.go
@@ -30,6 +30,7 @@
 	Retries                          int           // retries
 	Calls                            []NestedCall
 	DrawTarget                       func(chance uint64) (host, prefix string) // draws the target; nil: Host and Prefix
+	DrawURI                          func(chance uint64) (host, uri string)    // draws the whole URI of requests that need not be served
 }
 
 // NestedCall is a nested request that a worker makes while it executes another one.
--- a/internal/standin/checker/documents.go
+++ b/internal/standin/checker/documents.go
@@ -40,6 +40,26 @@
 	return longest
 }
 
+// AlwaysRetryable reports whether every valid document that was sent and has a route for a host and
+// URI lets its requests run more than once.
+func (w *Recorder) AlwaysRetryable(host, uri string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	found := false
+	for _, document := range w.documents {
+		if document.Defect != "" {
+			continue
+		}
+		if route := document.Match(host, uri); route != nil {
+			if !route.Retryable {
+				return false
+			}
+			found = true
+		}
+	}
+	return found
+}
+
 // mayBeInForce reports whether the document may be in force at the given time, or may have
 // been before.
 func (d *Document) mayBeInForce(at time.Time) bool {
--- a/internal/standin/checker/risk.go
+++ b/internal/standin/checker/risk.go
@@ -73,3 +73,15 @@
 	}
 	return counts
 }
+
+// AttemptsOf returns the attempts of one kind of request, in the order in which they began.
+func (w *Recorder) AttemptsOf(kind string) (attempts []*Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, attempt := range w.attemptOrder {
+		if attempt.Kind == kind {
+			attempts = append(attempts, attempt)
+		}
+	}
+	return attempts
+}
