proxy, replica: a departure in the registry decides, in whatever order its news come

What callers saw: a worker signed off and was acknowledged; its node and the core were killed; a beat from before the sign-off reached the restarted node before its refill.

Cause: two records decided, the merged registry and the node's table of workers. The registry was asked when a beat came and not when it learned. After the refill 12 of 12 nodes held the departure and a live entry of the worker side by side, since the entry has a new dot.

Change: the registry alone decides. A merge takes and keeps no entry of a departed worker; the owner asks for the departure at each admission; the node's table follows the registry's events. A departure has a tombstone of its own where no entry is known, stays over a refill, and is not dropped for an earlier tombstone of the same dot. What a worker reported to an earlier start of its node counts by the number of the call, whenever the node learns of it (draining). A repair is applied before it is answered.

The mutant sign-off-forgotten moved to the place that decides now.

--- a/internal/fleetrun/soak/start.go
+++ b/internal/fleetrun/soak/start.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// lateHeartbeatShare is the part of the workers' heartbeats that arrive again, late.
+const lateHeartbeatShare = 0.1
+
 // startWorker starts a new worker beside a proxy.
 func (f *fleet) startWorker(m *machine) {
 	m.mu.Lock()
@@ -60,6 +63,7 @@
 	id := checker.Worker{Name: fmt.Sprintf("w%d-%d", m.number, m.workerStarts), Service: m.service, Machine: m.name, Zone: m.zone}
 	behavior := workerBehavior
 	behavior.TimeFactor = 0.8 + float64(m.number%5)*0.15
+	behavior.LateShare, behavior.LateTasks = lateHeartbeatShare, f.tasks
 	var worker *actors.Worker
 	err := process.Bind(func() (err error) {
 		worker, err = actors.StartWorker(silentEnv(id.Name), actors.PlainDialect, id, m.host+":9000", m.host+":8000", []string{m.host + ":7003"}, behavior, f.recorder, f.options.Seed*1000+uint64(m.number)+500)
--- a/internal/mutant/list.go
+++ b/internal/mutant/list.go
@@ -28,8 +28,9 @@
 	{"gate-not-asked", NoRequestAfterLeave, "internal/proxy/localworker.go", "	if !local.lastUp.After(pauseEnd) || time.Since(local.lastUp) > x.Settings.WorkerTimeout() {", "	if local.lastUp.IsZero() && pauseEnd.IsZero() {", "sim", "TestPausedOwner"},
 	{"draining-ignored", NoRequestAfterLeave, "internal/proxy/heartbeat.go", "	case \"draining\":\n		x.drainWorker(local)", "	case \"draining\":\n		x.recordContact(local, true)", "sim", "TestDrain"},
 
-	{"sign-off-forgotten", NoRequestAfterLeave, "internal/proxy/workercall.go", "	if call.state != stateGone && (outdated || x.hasDeparted(call.worker)) {", "	if call.state != stateGone && outdated {", "sim", "TestLateHeartbeatAfterSignOff"},
-	{"departure-untold", NoRequestAfterLeave, "internal/replica/replica.go", "	d := r.entries.DepartureDelta(worker, reason, func(e ormap.Entry) bool { return e.Owner == r.self.Node })", "	d := r.entries.RemovalDelta(reason, func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node })", "sim", "TestLeaveOutlivesNode"},
+	{"sign-off-forgotten", NoRequestAfterLeave, "internal/ormap/ormap.go", "		if dots := m.departed[e.Worker]; len(dots) > 0 {", "		if dots := m.departed[e.Worker]; len(dots) > len(d.Adds)+len(m.live)+9 {", "ormap", "TestDepartedNeverLive"},
+	{"departure-not-applied", NoRequestAfterLeave, "internal/ormap/ormap.go", "	if departures {", "	if departures && now.IsZero() {", "ormap", "TestDepartedNeverLive"},
+	{"departure-untold", NoRequestAfterLeave, "internal/replica/registration.go", "	r.apply(r.entries.DepartureDelta(worker, reason, func() ormap.Dot { return ormap.Dot{Node: r.dotNode, Stamp: r.clock.Now()} }), true)", "	r.apply(r.entries.RemovalDelta(reason, func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node }), true)", "sim", "TestLeaveOutlivesNode"},
 	{"leave-not-kept", NoRequestAfterLeave, "internal/proxy/acknowledge.go", "	if state != stateUp && !x.leaveRecorded(r.Context(), worker, state) {", "	if !x.leaveRecorded(r.Context(), worker, state) && state == stateUp {", "sim", "TestLeaveWithoutAnswer"},
 	{"older-call-taken", NoRequestAfterLeave, "internal/proxy/workercall.go", "	outdated := call.number != 0 && call.number <= newest.number", "	outdated := call.number != 0 && call.number == newest.number", "proxy", "TestOutOfOrderCalls"},
 
--- a/internal/ormap/departed.go
+++ b/internal/ormap/departed.go
@@ -1,6 +1,9 @@
 package ormap
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // tombstone returns the tombstone of a dot. The caller holds mu.
 func (m *Map) tombstone(d Dot) Tombstone {
@@ -48,12 +51,65 @@
 	return out
 }
 
-// DepartureDelta returns the delta that removes the observed entries of a worker that pick
-// selects, and marks the worker as gone for good.
-func (m *Map) DepartureDelta(worker, reason string, pick func(Entry) bool) Delta {
-	d := m.RemovalDelta(reason, func(e Entry) bool { return e.Worker == worker && pick(e) })
+// DepartureDelta returns the delta that marks a worker as gone for good and removes its observed
+// entries. Without any, the tombstone of an unused dot carries the mark.
+func (m *Map) DepartureDelta(worker, reason string, unused func() Dot) Delta {
+	d := m.RemovalDelta(reason, func(e Entry) bool { return e.Worker == worker })
+	if len(d.Tombstones) == 0 && !m.Departed(worker) {
+		d.Tombstones = []Tombstone{{Dot: unused(), Reason: reason}}
+	}
 	for i := range d.Tombstones {
 		d.Tombstones[i].Worker = worker
 	}
 	return d
 }
+
+// DeparturesRecorded returns how many tombstones of workers that are gone for good this replica has
+// recorded so far, collected ones included.
+func (m *Map) DeparturesRecorded() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.departures
+}
+
+// recordTombstone enters a tombstone. The caller holds mu.
+func (m *Map) recordTombstone(tombstone Tombstone, now time.Time) {
+	m.tombstones[tombstone.Dot] = tombstoneRecord{tombstone.Reason, tombstone.Worker, now}
+	m.tombstonedHashes[hash(tombstone.Dot)] = tombstone.Dot
+	if tombstone.Worker != "" {
+		m.departed[tombstone.Worker] = append(m.departed[tombstone.Worker], tombstone.Dot)
+		m.departures++
+	}
+}
+
+// departureOf returns the tombstone of an entry whose worker is gone for good, by the reason of the
+// dot that says so. The caller holds mu.
+func (m *Map) departureOf(e Entry, said Dot) Tombstone {
+	return Tombstone{Dot: e.Dot, Reason: m.tombstones[said].reason, Worker: e.Worker}
+}
+
+// removeDeparted removes the live entries of workers that are gone for good. The caller holds mu.
+func (m *Map) removeDeparted(now time.Time) (tombstones []Tombstone, removed []Entry) {
+	for d, e := range m.live {
+		dots := m.departed[e.Worker]
+		if len(dots) == 0 {
+			continue
+		}
+		tombstone := m.departureOf(*e, dots[0])
+		m.recordTombstone(tombstone, now)
+		m.remove(d)
+		tombstones, removed = append(tombstones, tombstone), append(removed, *e)
+	}
+	return tombstones, removed
+}
+
+// DepartedWorkers returns the workers that are known to be gone for good.
+func (m *Map) DepartedWorkers() map[string]bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	workers := make(map[string]bool, len(m.departed))
+	for worker := range m.departed {
+		workers[worker] = true
+	}
+	return workers
+}
--- a/internal/ormap/ormap.go
+++ b/internal/ormap/ormap.go
@@ -70,6 +70,7 @@
 	digests          [Ranges]uint64            // digests of the live entries, updated with each change
 	tombstonedHashes map[uint64]Dot            // tombstoned dots by hash
 	departed         map[string][]Dot          // workers gone for good, with the dots whose tombstones say so
+	departures       uint64                    // tombstones of such workers recorded so far
 	pool             *Pool
 }
 
@@ -100,31 +101,41 @@
 }
 
 // Merge merges a delta. It returns the part that was new, and the entries that became live
-// or were removed, for notifying subscribers.
+// or were removed, for notifying subscribers. No entry of a worker that is gone for good is
+// live, in whatever order the two arrive; the tombstones that this takes count as new.
 func (m *Map) Merge(d Delta) (fresh Delta, added, removed []Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	departures := false // some worker is newly known to be gone for good
 	// Tombstones first, so that an entry that arrives with its tombstone never becomes live.
 	for _, tombstone := range d.Tombstones {
-		if _, ok := m.tombstones[tombstone.Dot]; ok {
+		// A removal may become known before the reason that the worker itself is gone.
+		if record, ok := m.tombstones[tombstone.Dot]; ok && (record.worker != "" || tombstone.Worker == "") {
 			continue
 		}
-		m.tombstones[tombstone.Dot] = tombstoneRecord{tombstone.Reason, tombstone.Worker, now}
-		if tombstone.Worker != "" {
-			m.departed[tombstone.Worker] = append(m.departed[tombstone.Worker], tombstone.Dot)
-		}
-		m.tombstonedHashes[hash(tombstone.Dot)] = tombstone.Dot
+		departures = departures || tombstone.Worker != "" && len(m.departed[tombstone.Worker]) == 0
+		m.recordTombstone(tombstone, now)
 		fresh.Tombstones = append(fresh.Tombstones, tombstone)
 		if e, ok := m.live[tombstone.Dot]; ok {
 			m.remove(tombstone.Dot)
 			removed = append(removed, *e)
 		}
 	}
+	if departures {
+		tombstones, entries := m.removeDeparted(now)
+		fresh.Tombstones, removed = append(fresh.Tombstones, tombstones...), append(removed, entries...)
+	}
 	for _, e := range d.Adds {
 		if _, ok := m.tombstones[e.Dot]; ok {
 			continue
 		}
+		if dots := m.departed[e.Worker]; len(dots) > 0 {
+			tombstone := m.departureOf(e, dots[0])
+			m.recordTombstone(tombstone, now)
+			fresh.Tombstones = append(fresh.Tombstones, tombstone)
+			continue
+		}
 		if _, ok := m.live[e.Dot]; ok {
 			continue
 		}
@@ -193,35 +204,6 @@
 	return len(m.live), len(m.tombstones)
 }
 
-// Collect drops the tombstones older than maxAge and returns their number.
-func (m *Map) Collect(maxAge time.Duration) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	count := 0
-	for d, record := range m.tombstones {
-		if time.Since(record.recordedAt) > maxAge {
-			delete(m.tombstones, d)
-			delete(m.tombstonedHashes, hash(d))
-			m.forgetDeparture(record.worker, d)
-			count++
-		}
-	}
-	return count
-}
-
-// Clear drops all entries but those that keep selects, and all tombstones. A replica that
-// was disconnected for longer than tombstones are kept must be refilled instead of merged.
-func (m *Map) Clear(keep func(Entry) bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.tombstones, m.tombstonedHashes, m.departed = map[Dot]tombstoneRecord{}, map[uint64]Dot{}, map[string][]Dot{}
-	for d, e := range m.live {
-		if !keep(*e) {
-			m.remove(d)
-		}
-	}
-}
-
 // Hash returns the 64-bit hash of a dot.
 func (d Dot) Hash() uint64 { return hash(d) }
 
--- a/internal/proxy/heartbeat.go
+++ b/internal/proxy/heartbeat.go
@@ -111,7 +111,7 @@
 	delete(x.workers, worker)
 	x.mu.Unlock()
 	if local == nil {
-		x.recordDeparture(worker, reasonSignedOff)
+		x.replica.SignOffWorker(worker, reasonSignedOff)
 		return
 	}
 	x.closeDeparted(local, reasonSignedOff)
@@ -123,7 +123,7 @@
 	x.transition(local, "gone", reason)
 	local.registryMu.Lock()
 	defer local.registryMu.Unlock()
-	x.recordDeparture(local.id, reason)
+	x.replica.SignOffWorker(local.id, reason)
 }
 
 // closeAndRemove closes a worker for good and removes its registry entry.
@@ -140,7 +140,7 @@
 		local.mu.Lock()
 		dot := local.dot
 		local.mu.Unlock()
-		if local.state.Is("up", "draining") && x.replica.OwnRemoved(dot) {
+		if local.state.Is("up", "draining") && x.replica.OwnRemoved(dot) && !x.hasDeparted(local.id) {
 			x.env.Log.Emit(event.Reregistered, "worker", local.id)
 			x.register(local)
 		}
--- a/internal/proxy/localworker.go
+++ b/internal/proxy/localworker.go
@@ -187,11 +187,14 @@
 	return w.lastContact
 }
 
-// accepts tells whether new requests may be admitted: on a recent report of the worker, while
-// it is up, and for a quarter of the leave bound after it began to drain. Otherwise ingresses
+// accepts tells whether new requests may be admitted: on a recent report of the worker, unless it
+// is gone for good, while it is up, and for a quarter of the leave bound after it began to drain. Otherwise ingresses
 // that have not seen the drain yet would spend retries, or return errors to callers, for a
 // planned leave.
 func (x *Proxy) accepts(local *localWorker) bool {
+	if x.hasDeparted(local.id) {
+		return false
+	}
 	pauseEnd := x.pauseDetector.LastPauseEnd()
 	local.mu.Lock()
 	defer local.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,8 +79,7 @@
 
 	workerCallMu   sync.Mutex // serializes workers' calls; taken before mu
 	lastCalls      map[string]lastCall
-	departures     map[string]time.Time // workers that have left for good, and since when
-	recordedLeaves map[string]string    // states of leaving workers that a control node has recorded
+	recordedLeaves map[string]string // states of leaving workers that a control node has recorded
 
 	mu                sync.Mutex
 	workers           map[string]*localWorker // by worker ID
@@ -96,7 +95,7 @@
 // New prepares a proxy; Start makes it serve.
 func New(conf settings.Settings, environ env.Env) *Proxy {
 	group := task.New(context.Background()).SetSleep(environ.Sleep)
-	x := &Proxy{Settings: conf, env: environ, group: group, readyCh: make(chan struct{}), workers: map[string]*localWorker{}, seenAttempts: map[string]time.Time{}, armTallies: map[armKey]*armCounts{}, routeLastUsed: map[string]time.Time{}, lastCalls: map[string]lastCall{}, departures: map[string]time.Time{}, recordedLeaves: map[string]string{}, incarnation: newIncarnation(), startedAt: time.Now(), dialect: environ.Dialect}
+	x := &Proxy{Settings: conf, env: environ, group: group, readyCh: make(chan struct{}), workers: map[string]*localWorker{}, seenAttempts: map[string]time.Time{}, armTallies: map[armKey]*armCounts{}, routeLastUsed: map[string]time.Time{}, lastCalls: map[string]lastCall{}, recordedLeaves: map[string]string{}, incarnation: newIncarnation(), startedAt: time.Now(), dialect: environ.Dialect}
 	x.cutoff = shutdown.NewCutoff(group.Context())
 	x.ingressAttempts.byID, x.remoteRuns.byID = map[string]*ingressAttempt{}, map[string]context.Context{}
 	if x.dialect.Name == "" {
@@ -144,8 +143,13 @@
 	}
 }
 
-// onRegistryEvent logs the registry's events and drops balancer state of workers that are gone.
+// onRegistryEvent logs the registry's events, applies those that concern this node's workers, and
+// drops balancer state of workers that are gone.
 func (x *Proxy) onRegistryEvent(update replica.Event) {
+	x.followRegistry(update)
+	if update.Kind == "departed" {
+		return
+	}
 	if update.Kind == "registered" {
 		x.env.Log.Emit(event.Registered, "service", update.Entry.Service, "worker", update.Entry.Worker, "owner", update.Entry.Owner)
 		return
--- a/internal/proxy/workercall.go
+++ b/internal/proxy/workercall.go
@@ -1,12 +1,9 @@
 package proxy
 
 import (
-	"strconv"
 	"time"
 
-	"puffincrank/internal/balancer"
 	"puffincrank/internal/event"
-	"puffincrank/internal/ormap"
 )
 
 // States that a worker reports of itself.
@@ -49,6 +46,15 @@
 
 // applyCallLocked is handleCall with x.workerCallMu held.
 func (x *Proxy) applyCallLocked(call workerCall) {
+	if _, known := x.lastCalls[call.worker]; !known && call.state != stateGone {
+		x.recallEarlierState(call.worker)
+	}
+	x.applyIfNewest(call)
+}
+
+// applyIfNewest applies a call unless it is older than what is known of the worker here.
+// x.workerCallMu is held.
+func (x *Proxy) applyIfNewest(call workerCall) {
 	newest := x.lastCalls[call.worker]
 	outdated := call.number != 0 && call.number <= newest.number
 	if call.state != stateGone && (outdated || x.hasDeparted(call.worker)) {
@@ -62,20 +68,9 @@
 	x.applyState(call)
 }
 
-// hasDeparted tells whether a worker is gone for good: it signed off here, or the registry says
-// so. x.workerCallMu is held.
-func (x *Proxy) hasDeparted(worker string) bool {
-	_, here := x.departures[worker]
-	return here || x.replica.Map().Departed(worker)
-}
-
-// recordDeparture records that a worker signed off, or that another worker has its address. Its
-// entries are removed for good, here and at every node that refills this one. x.workerCallMu is
-// held.
-func (x *Proxy) recordDeparture(worker, reason string) {
-	x.departures[worker] = time.Now()
-	x.replica.SignOffWorker(worker, reason)
-}
+// hasDeparted tells whether a worker is gone for good: it signed off, or another worker has its
+// address. The registry alone decides, so that it doesn't matter when or where a node learned of it.
+func (x *Proxy) hasDeparted(worker string) bool { return x.replica.Map().Departed(worker) }
 
 // expireCalls drops the state of workers that have not called for longer than the tombstone
 // TTL.
@@ -92,53 +87,4 @@
 			delete(x.recordedLeaves, worker)
 		}
 	}
-	for worker, at := range x.departures {
-		if time.Since(at) > x.Settings.TombstoneTTL() {
-			delete(x.departures, worker)
-		}
-	}
-}
-
-// adoptEarlierWorker takes over the local worker's entry from an earlier start of this node.
-// Otherwise the worker would be idle until its next heartbeat, or an old heartbeat could mark
-// it as up after it had reported that it is draining. This is done only where the platform sets
-// the worker's address; if another worker has that address by now, it refuses requests that are
-// not for it.
-func (x *Proxy) adoptEarlierWorker() {
-	x.workerCallMu.Lock()
-	defer x.workerCallMu.Unlock()
-	// These signed off before this node knew what its earlier start had registered.
-	for worker := range x.departures {
-		x.replica.SignOffWorker(worker, reasonSignedOff)
-	}
-	conf := x.currentSettings()
-	if conf.WorkerAddr == "" || x.dialect.IdentifiesConns {
-		return
-	}
-	earlier := x.replica.Map().Live(func(e ormap.Entry) bool {
-		return e.Owner == x.Settings.Node && e.Dot.Node != x.replica.DotNode() && e.Meta["addr"] == conf.WorkerAddr && e.Service == conf.Service
-	})
-	if len(earlier) == 0 || len(x.allWorkers()) > 0 {
-		return
-	}
-	latest := earlier[0]
-	for _, e := range earlier {
-		// With two workers, one of them is gone, and it is not known which.
-		if e.Worker != latest.Worker {
-			return
-		}
-		// Control plane machines may have kept older entries of the same worker too.
-		if latest.Dot.Compare(e.Dot) < 0 {
-			latest = e
-		}
-	}
-	number, _ := strconv.ParseInt(latest.Meta["call"], 10, 64)
-	x.applyCallLocked(workerCall{worker: latest.Worker, service: latest.Service, addr: latest.Meta["addr"], slots: balancer.Slots(latest), state: latest.Meta["state"], number: number})
-	if local := x.findWorker(latest.Worker); local != nil && local.state.Is("draining") {
-		// How long it has been draining is unknown, so it gets no more requests.
-		local.mu.Lock()
-		local.drainingSince = time.Time{}
-		local.mu.Unlock()
-		local.admission.Close()
-	}
 }
--- a/internal/proxy/workercall_test.go
+++ b/internal/proxy/workercall_test.go
@@ -14,11 +14,15 @@
 	"puffincrank/internal/task"
 )
 
+// isolatedSettings returns the settings of a node that no other node knows.
+func isolatedSettings() settings.Settings {
+	return settings.Settings{Node: "n", ClusterID: "m", Zone: "a", ConfigBound: 2 * time.Second, LeaveBound: 2 * time.Second, RetryWindow: 10 * time.Second, RecoveryBound: 15 * time.Second, RetireAfter: 10 * time.Second,
+		MaxFrameBytes: 1 << 20, MaxBodyBytes: 1 << 20, MaxRequests: 16, GracePeriod: time.Second, Seeds: []string{"10.0.0.1:1"}}
+}
+
 // newIsolatedProxy creates a node that no other node knows.
 func newIsolatedProxy() *Proxy {
-	conf := settings.Settings{Node: "n", ClusterID: "m", Zone: "a", ConfigBound: 2 * time.Second, LeaveBound: 2 * time.Second, RetryWindow: 10 * time.Second, RecoveryBound: 15 * time.Second, RetireAfter: 10 * time.Second,
-		MaxFrameBytes: 1 << 20, MaxBodyBytes: 1 << 20, MaxRequests: 16, GracePeriod: time.Second, Seeds: []string{"10.0.0.1:1"}}
-	return New(conf, env.Env{WallClock: time.Now, Sleep: task.Sleep, Log: event.New("n", io.Discard)})
+	return New(isolatedSettings(), env.Env{WallClock: time.Now, Sleep: task.Sleep, Log: event.New("n", io.Discard)})
 }
 
 func testCall(worker, state string, number int64) workerCall {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -116,6 +116,9 @@
 		fsm.Transition{From: "leaving", Trigger: "shut", To: "shut"})
 	registry.elections = []*roleElection{newRoleElection(registry, "steward", registry.retireNodes), newRoleElection(registry, "judge", registry.judgeTrials)}
 	registry.replica.Subscribe(func(change replica.Event) {
+		if change.Kind == "departed" {
+			return
+		}
 		kind := map[string]event.Kind{"registered": event.Registered, "unregistered": event.Unregistered, "down": event.WorkerDown}[change.Kind]
 		environment.Log.Emit(kind, "service", change.Entry.Service, "worker", change.Entry.Worker, "owner", change.Entry.Owner, "why", change.Reason)
 	})
--- a/internal/replica/lookup.go
+++ b/internal/replica/lookup.go
@@ -61,10 +61,11 @@
 	}
 }
 
-// ReplaceRemote replaces all entries of other nodes with the state from a refill.
+// ReplaceRemote replaces all entries of other nodes with the state from a refill. Those of earlier
+// starts of this node stay until it has retired them: the refill may be older than they are.
 func (r *Replica) ReplaceRemote(state ormap.Delta) {
 	r.mu.Lock()
-	r.entries.Clear(func(e ormap.Entry) bool { return e.Dot.Node == r.dotNode })
+	r.entries.Clear(func(e ormap.Entry) bool { return e.Owner == r.self.Node })
 	clear(r.index)
 	r.updateIndex(r.entries.Live(nil), nil)
 	r.mu.Unlock()
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -72,8 +72,9 @@
 	if err != nil {
 		return ormap.Delta{}, err
 	}
-	reply := r.entries.Answer(request.Want, received.Adds)
+	// Applied first, so that the peer is answered with the tombstones of entries refused here.
 	r.apply(received, true)
+	reply := r.entries.Answer(request.Want, received.Adds)
 	if request.AcceptsCompact {
 		reply = reply.Encode()
 		r.budget.spend(len(reply.Compact))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,7 +17,8 @@
 	"puffincrank/internal/transport"
 )
 
-// Event is a change of an entry; its kind is registered, unregistered or down.
+// Event is a change of an entry; its kind is registered, unregistered, down or departed. For the
+// last one only the entry's worker is set: the worker is newly known to be gone for good.
 type Event struct {
 	Kind   string
 	Entry  ormap.Entry
@@ -107,7 +108,6 @@
 func (r *Replica) merge(d ormap.Delta) (ormap.Delta, []ormap.Entry) {
 	reasons := map[ormap.Dot]string{}
 	for _, tombstone := range d.Tombstones {
-		reasons[tombstone.Dot] = tombstone.Reason
 		r.clock.Observe(tombstone.Dot.Stamp)
 	}
 	for _, e := range d.Adds {
@@ -119,6 +119,13 @@
 	r.updateIndex(added, removed)
 	subscribers := r.subscribers
 	r.mu.Unlock()
+	departed := map[string]string{}
+	for _, tombstone := range fresh.Tombstones {
+		reasons[tombstone.Dot] = tombstone.Reason
+		if tombstone.Worker != "" {
+			departed[tombstone.Worker] = tombstone.Reason
+		}
+	}
 	for _, e := range added {
 		r.notify(subscribers, Event{"registered", e, ""})
 	}
@@ -129,6 +136,9 @@
 		}
 		r.notify(subscribers, Event{kind, e, reasons[e.Dot]})
 	}
+	for worker, reason := range departed {
+		r.notify(subscribers, Event{"departed", ormap.Entry{Worker: worker}, reason})
+	}
 	return fresh, removed
 }
 
@@ -145,51 +155,6 @@
 	r.mu.Unlock()
 }
 
-// Register adds an entry of this node with a new dot and removes older observed entries
-// of the worker in the same delta. Registrations are serialized: concurrent ones would
-// not observe each other and leave two entries.
-func (r *Replica) Register(service, worker string, meta map[string]string) ormap.Entry {
-	r.registerMu.Lock()
-	defer r.registerMu.Unlock()
-	e := ormap.Entry{Dot: ormap.Dot{Node: r.dotNode, Stamp: r.clock.Now()}, Service: service, Worker: worker,
-		Owner: r.self.Node, InternalAddr: r.self.InternalAddr, Zone: r.self.Zone, Meta: meta}
-	d := r.entries.RemovalDelta("again", func(other ormap.Entry) bool { return other.Worker == worker && other.Owner == r.self.Node })
-	d.Adds = []ormap.Entry{e}
-	r.apply(d, true)
-	return e
-}
-
-// Remove tombstones the observed entries of a worker of this node.
-func (r *Replica) Remove(worker, reason string) {
-	r.apply(r.entries.RemovalDelta(reason, func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node }), true)
-}
-
-// SignOffWorker removes a worker's registrations at this node and announces that the
-// worker has left for good. It returns false if no registration is known, since then
-// there is no tombstone to announce it with.
-func (r *Replica) SignOffWorker(worker, reason string) bool {
-	d := r.entries.DepartureDelta(worker, reason, func(e ormap.Entry) bool { return e.Owner == r.self.Node })
-	r.apply(d, true)
-	return len(d.Tombstones) > 0
-}
-
-// EntriesOf returns the registrations of a worker at this node, and the tombstones that
-// mark the worker as gone for good.
-func (r *Replica) EntriesOf(worker string) ormap.Delta {
-	live := r.entries.Live(func(e ormap.Entry) bool { return e.Worker == worker && e.Owner == r.self.Node })
-	return ormap.Delta{Adds: live, Tombstones: r.entries.Departures(worker)}
-}
-
-// Accept merges a delta that a node sent about its worker, and gossips what was new.
-func (r *Replica) Accept(d ormap.Delta) { r.apply(d, true) }
-
-// RetireNode tombstones the selected entries of a dead node and returns their number.
-func (r *Replica) RetireNode(node string, pick func(ormap.Entry) bool) int {
-	d := r.entries.RemovalDelta("retired", func(e ormap.Entry) bool { return e.Owner == node && pick(e) })
-	r.apply(d, true)
-	return len(d.Tombstones)
-}
-
 // SetMembers sets the members of the cluster.
 func (r *Replica) SetMembers(members *membership.List) {
 	neighbors := members.Neighbors(r.self.Node)
--- a/internal/sim/withdraw_test.go
+++ b/internal/sim/withdraw_test.go
@@ -173,3 +173,64 @@
 		}
 	})
 }
+
+// TestLateHeartbeatDuringRestart guards against a worker that comes back after an acknowledged
+// leave. Its node is killed together with the core, and a heartbeat from before the leave reaches the
+// restarted node while the core is away, so that the node knows of nothing yet.
+func TestLateHeartbeatDuringRestart(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		for _, signsOff := range []bool{true, false} {
+			t.Run(fmt.Sprintf("signs off first %v, seed %d", signsOff, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { runLateHeartbeatDuringRestart(t, signsOff, seed) })
+			})
+		}
+	}
+}
+
+func runLateHeartbeatDuringRestart(t *testing.T, signsOff bool, seed uint64) {
+	s := newSite(t, readerDeployment(seed, 0.3), seed)
+	a := faultRun{s, rand.New(rand.NewPCG(seed, 2)), &[]*ControlMachine{}}
+	offered := 0
+	violations := s.runDay(16*time.Second, func() {
+		Wait(time.Second)
+		m := s.machines[a.IntN(len(s.machines))]
+		left := make(chan struct{})
+		s.g.Go("leave", func(context.Context) {
+			m.worker.LeaveBy(context.Background(), actors.LeaveStyle{DeregistersFirst: signsOff, HeartbeatDelay: 500*time.Millisecond + a.ms(0, 300), ExtraServingTime: 6 * time.Second})
+			close(left)
+		})
+		for !m.worker.Acknowledged() {
+			Wait(time.Millisecond)
+		}
+		end := a.recorder.Faults.Begin(m.name, "killed")
+		for _, c := range a.controlMachines() {
+			a.killCore(c, false)
+		}
+		a.KillNode(m.Node)
+		Wait(200 * time.Millisecond)
+		a.startNode(m)
+		Wait(800 * time.Millisecond)
+		for _, c := range a.controlMachines() {
+			a.startCore(c, false)
+		}
+		end()
+		// From here on the machines count as connected.
+		Wait(s.recorder.Bounds.Connect)
+		for _, other := range s.machines {
+			for _, entry := range other.Proxy.Offered(m.service) {
+				if entry.Worker == m.worker.Name && entry.Meta["state"] == "up" {
+					offered++
+				}
+			}
+		}
+		<-left
+	})
+	if len(violations) > 0 {
+		t.Errorf("violated guarantees: %v", violations)
+	}
+	if offered > 0 {
+		t.Errorf("%d nodes offer the worker that left", offered)
+	}
+}
--- a/internal/standin/actors/heartbeat.go
+++ b/internal/standin/actors/heartbeat.go
@@ -17,6 +17,7 @@
 
 func (w *Worker) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
+		w.drawLateHeartbeat()
 		w.reportState(ctx, http.MethodPut)
 		task.Sleep(ctx, heartbeatInterval)
 	}
@@ -68,6 +69,28 @@
 		"cold_ms": cold.Milliseconds(), "seq": seq}
 }
 
+// maxLateness is how late a heartbeat may arrive.
+const maxLateness = 6 * time.Second
+
+// drawLateHeartbeat draws whether the current state arrives another time, late, doubled or after
+// newer calls. It does so even if the worker has ended meanwhile.
+func (w *Worker) drawLateHeartbeat() {
+	if w.Behavior.LateTasks == nil || w.inState("over") || w.inState("leaving") || w.lateRandom.fraction() >= w.Behavior.LateShare {
+		return
+	}
+	addr, _, body := w.nextReport()
+	first := time.Duration(w.lateRandom.uint64() % uint64(maxLateness))
+	second := time.Duration(w.lateRandom.uint64() % uint64(maxLateness))
+	for _, delay := range []time.Duration{first, second}[:1+w.lateRandom.intN(2)] {
+		w.Behavior.LateTasks.Go("late-beat", func(ctx context.Context) {
+			task.Sleep(ctx, delay)
+			if ctx.Err() == nil {
+				w.callNode(ctx, http.MethodPut, addr, body)
+			}
+		})
+	}
+}
+
 // sendDelayedHeartbeat builds a heartbeat now and sends it after the delay, like one that was
 // delayed in the network.
 func (w *Worker) sendDelayedHeartbeat(delay time.Duration) {
--- a/internal/standin/actors/worker.go
+++ b/internal/standin/actors/worker.go
@@ -29,6 +29,8 @@
 	CloseShare      float64       // part of the answers after which the connection is closed
 	DrainTime       time.Duration // how long it goes on serving after its leave was acknowledged
 	HealthPath      string        // URL path of the health check
+	LateShare       float64       // part of the heartbeats that arrive a second time, up to maxLateness later
+	LateTasks       *task.Group   // runs the late heartbeats, also after the worker's end; nil: none are late
 }
 
 // Faults are the current faults of a worker.
@@ -70,14 +72,15 @@
 	heartbeatIndex int           // index into HeartbeatAddrs, modulo their number
 	Ended          chan struct{} // closed by Kill
 	listener       net.Listener
-	client         *Client // for nested requests through the node beside it
+	client         *Client     // for nested requests through the node beside it
+	lateRandom     *lockedRand // for late heartbeats
 }
 
 // StartWorker starts a worker. Heartbeats go to the first of the given addresses, and to the next
 // one after a second without an answer.
 func StartWorker(environment env.Env, dialect dialect.Dialect, identity checker.Worker, addr, ingressAddr string, heartbeatAddrs []string, behavior WorkerBehavior, recorder *checker.Recorder, seed uint64) (*Worker, error) {
 	worker := &Worker{Worker: &identity, ListenAddr: addr, IngressAddr: ingressAddr, HeartbeatAddrs: heartbeatAddrs, Behavior: behavior, dialect: dialect, env: environment, tasks: task.New(context.Background()), recorder: recorder, random: newLockedRand(seed),
-		slots: &slotPool{slots: behavior.Slots, queue: behavior.Queue}, startedAt: time.Now(), state: "up", conns: map[net.Conn]bool{}, Ended: make(chan struct{})}
+		slots: &slotPool{slots: behavior.Slots, queue: behavior.Queue}, startedAt: time.Now(), lateRandom: newLockedRand(seed + 5), state: "up", conns: map[net.Conn]bool{}, Ended: make(chan struct{})}
 	worker.client = &Client{Env: environment, Dialect: dialect, IngressAddr: ingressAddr, Machine: identity.Machine, Recorder: recorder, Tasks: worker.tasks, ReuseShare: 0.7, random: worker.random, name: "n-" + identity.Name + "-"}
 	var err error
 	if worker.listener, err = environment.Net.Listen(addr); err != nil {
