registry: a leave is acknowledged only when the file holds it, live entries or none

What callers saw: nothing yet; seen in the code by the review. Cause: the file of registrations counted as current when the live entries were as at the last save. A registry that had none, as right after its start, thus acknowledged a leave that was not on its disk; a loss of all processes soon after would have forgotten it.

Change: what a save covers is the digest of the live entries and the count of departures recorded so far. Evidence: TestLeaveAtEmptyRegistry fails before in both its checks (the leave acknowledged while starting, and not on the disk), passes after.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -85,8 +85,8 @@
 	latestReports    map[reportKey]protocol.TrialReport // judge: the newest report of each proxy incarnation
 	absentSince      map[string]time.Time               // steward: since when an owner has had no session
 	refilledAt       time.Time
-	saveLock         task.Lock // only one goroutine saves the workers at a time
-	savedDigest      uint64    // the replica's digest at the last save
+	saveLock         task.Lock  // only one goroutine saves the workers at a time
+	saved            savedState // what the replica held at the last save
 }
 
 // New returns a registry that does nothing until Start is called.
--- a/internal/registry/savedworkers.go
+++ b/internal/registry/savedworkers.go
@@ -19,14 +19,20 @@
 	Entries   ormap.Delta `msgpack:"a"` // the live entries, and the tombstones of workers that left for good
 }
 
-// saveWorkers writes the live entries if they have changed. It is best effort: a disk
+// savedState tells whether the file is current. It is zero for an empty replica, which is never saved.
+type savedState struct {
+	live       uint64 // digest of the live entries
+	departures uint64 // tombstones of workers that left for good, counted since the start
+}
+
+// saveWorkers writes the live entries, and which workers left for good, if they have changed. It is best effort: a disk
 // failure costs only what the file would have restored. The result is true if the file
 // holds the current state, or if there is no disk.
 func (r *Registry) saveWorkers() bool {
 	r.saveLock.Lock()
 	defer r.saveLock.Unlock()
-	digest := ormap.CombineDigests(r.replica.Map().Digests())
-	if r.env.FS == nil || digest == r.savedDigest {
+	current := savedState{live: ormap.CombineDigests(r.replica.Map().Digests()), departures: r.replica.Map().DeparturesRecorded()}
+	if r.env.FS == nil || current == r.saved {
 		return true
 	}
 	if !r.lifecycle.Is("ready") {
@@ -41,7 +47,7 @@
 	if err != nil || disk.Save(r.env.FS, workersFile, raw) != nil {
 		return false
 	}
-	r.savedDigest = digest
+	r.saved = current
 	return true
 }
 
--- a/internal/registry/savedworkers_test.go
+++ b/internal/registry/savedworkers_test.go
@@ -57,3 +57,24 @@
 		t.Errorf("departed %v, live entries %v", restarted.replica.Map().Departed("w"), restarted.replica.Map().Live(nil))
 	}
 }
+
+// TestLeaveAtEmptyRegistry guards against a leave that is acknowledged and not on the disk: a
+// registry that held no live entries, as right after its start or when the worker's entry had gone
+// before, took its file for current.
+func TestLeaveAtEmptyRegistry(t *testing.T) {
+	directory := t.TempDir()
+	registry := newRegistryOnDisk(t, directory)
+	leave := ormap.Delta{Tombstones: []ormap.Tombstone{{Dot: ormap.Dot{Node: "n#1", Stamp: hlc.New(time.Now, time.Second).Now()}, Reason: "signed off", Worker: "w"}}}
+	if _, err := registry.onWorkerLeaving(t.Context(), transport.Hello{}, leave); err == nil {
+		t.Error("a registry that was starting acknowledged the leave")
+	}
+	registry.lifecycle.Fire("filled")
+	if _, err := registry.onWorkerLeaving(t.Context(), transport.Hello{}, leave); err != nil {
+		t.Fatal(err)
+	}
+	restarted := newRegistryOnDisk(t, directory)
+	restarted.loadWorkers()
+	if !restarted.replica.Map().Departed("w") {
+		t.Error("the acknowledged leave was not on the disk")
+	}
+}
