proxy: a former life's late heartbeat no longer shuts out the worker at its address for good

What callers saw: nothing yet; seen in the code by the review. Cause: a call of another worker at the same address marked the present one as gone for good. A node that has restarted since can't tell a late heartbeat of a former life from the first one of a new life.

Change: the address is claimed at once, as before; the worker that had it is gone for good when it has been silent for as long as a worker may, while the claimant went on calling. While the claimant calls, the other's calls are refused; when it falls silent, they are taken again.

Evidence: TestFormerLifeAtRestartedNode fails before ("the live worker is still shut out"), passes after.

--- a/internal/proxy/heartbeat.go
+++ b/internal/proxy/heartbeat.go
@@ -69,9 +69,9 @@
 	for _, other := range replaced {
 		x.env.Log.Emit(event.Evicted, "worker", other.id, "by", worker, "addr", addr)
 		if other.id == worker {
-			x.closeAndRemove(other, "evicted")
+			x.closeAndRemove(other, reasonEvicted)
 		} else {
-			x.closeDeparted(other, "evicted")
+			x.evict(other, worker)
 		}
 	}
 	x.recordContact(local, state == "up")
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,7 +79,8 @@
 
 	workerCallMu   sync.Mutex // serializes workers' calls; taken before mu
 	lastCalls      map[string]lastCall
-	recordedLeaves map[string]string // states of leaving workers that a control node has recorded
+	evictions      map[string]eviction // workers whose address another one has claimed
+	recordedLeaves map[string]string   // states of leaving workers that a control node has recorded
 
 	mu                sync.Mutex
 	workers           map[string]*localWorker // by worker ID
@@ -95,7 +96,7 @@
 // New prepares a proxy; Start makes it serve.
 func New(conf settings.Settings, environ env.Env) *Proxy {
 	group := task.New(context.Background()).SetSleep(environ.Sleep)
-	x := &Proxy{Settings: conf, env: environ, group: group, readyCh: make(chan struct{}), workers: map[string]*localWorker{}, seenAttempts: map[string]time.Time{}, armTallies: map[armKey]*armCounts{}, routeLastUsed: map[string]time.Time{}, lastCalls: map[string]lastCall{}, recordedLeaves: map[string]string{}, incarnation: newIncarnation(), startedAt: time.Now(), dialect: environ.Dialect}
+	x := &Proxy{Settings: conf, env: environ, group: group, readyCh: make(chan struct{}), workers: map[string]*localWorker{}, seenAttempts: map[string]time.Time{}, armTallies: map[armKey]*armCounts{}, routeLastUsed: map[string]time.Time{}, lastCalls: map[string]lastCall{}, evictions: map[string]eviction{}, recordedLeaves: map[string]string{}, incarnation: newIncarnation(), startedAt: time.Now(), dialect: environ.Dialect}
 	x.cutoff = shutdown.NewCutoff(group.Context())
 	x.ingressAttempts.byID, x.remoteRuns.byID = map[string]*ingressAttempt{}, map[string]context.Context{}
 	if x.dialect.Name == "" {
--- a/internal/proxy/workercall.go
+++ b/internal/proxy/workercall.go
@@ -57,7 +57,7 @@
 func (x *Proxy) applyIfNewest(call workerCall) {
 	newest := x.lastCalls[call.worker]
 	outdated := call.number != 0 && call.number <= newest.number
-	if call.state != stateGone && (outdated || x.hasDeparted(call.worker)) {
+	if call.state != stateGone && (outdated || x.hasDeparted(call.worker) || x.claimStands(call.worker)) {
 		x.env.Log.Emit(event.HeartbeatOutdated, "worker", call.worker, "call", call.number, "says", call.state, "newest", newest.number, "signed_off", x.hasDeparted(call.worker))
 		return
 	}
@@ -66,10 +66,11 @@
 		delete(x.recordedLeaves, call.worker)
 	}
 	x.applyState(call)
+	x.confirmEvictions(call.worker)
 }
 
-// hasDeparted tells whether a worker is gone for good: it signed off, or another worker has its
-// address. The registry alone decides, so that it doesn't matter when or where a node learned of it.
+// hasDeparted tells whether a worker is gone for good: it signed off, or another worker has had its
+// address for long enough. The registry alone decides, so that it doesn't matter when or where a node learned of it.
 func (x *Proxy) hasDeparted(worker string) bool { return x.replica.Map().Departed(worker) }
 
 // expireCalls drops the state of workers that have not called for longer than the tombstone
@@ -82,6 +83,11 @@
 			delete(x.lastCalls, worker)
 		}
 	}
+	for worker := range x.evictions {
+		if _, known := x.lastCalls[worker]; !known {
+			delete(x.evictions, worker)
+		}
+	}
 	for worker := range x.recordedLeaves {
 		if _, known := x.lastCalls[worker]; !known {
 			delete(x.recordedLeaves, worker)
