proxy: a request that may have run isn't sent again under rules that let it run once

What callers saw: nothing yet; found on a path related to the prefixes. Cause: when an owner refuses an attempt since it holds a newer configuration, the ingress routes the request by that one and sends it, even if the answer of an earlier attempt was lost, or a first attempt is still under way, and the new route lets it run only once.

Change: such a request is not sent again; it ends as its earlier attempt did. Evidence: TestLostRequestUnderNewRules, three of five cases fail before, none after.

--- a/internal/proxy/evaluate.go
+++ b/internal/proxy/evaluate.go
@@ -36,8 +36,8 @@
 		}
 		// It certainly did not run, so another worker may run it.
 		req.recordRefusal()
-		if req.result.ConfigMismatch && canRetry {
-			x.resolveMismatch(ctx, req)
+		if req.result.ConfigMismatch && canRetry && !x.resolveMismatch(ctx, req) {
+			return finish
 		}
 		if canRetry {
 			return restart
--- a/internal/proxy/routeedges_test.go
+++ b/internal/proxy/routeedges_test.go
@@ -86,3 +86,34 @@
 		}
 	}
 }
+
+// TestLostRequestUnderNewRules guards against a request that is sent again after its answer was
+// lost, although the configuration that it takes over from an owner meanwhile lets it run only once.
+func TestLostRequestUnderNewRules(t *testing.T) {
+	safe := strings.Replace(edgeDocument, `"repeat":"never"`, `"repeat":"safe"`, 1)
+	for _, c := range []struct {
+		name     string
+		newRules string
+		change   func(*request)
+		restarts bool
+	}{
+		{"nothing has run", edgeDocument, func(*request) {}, true},
+		{"an answer was lost", edgeDocument, func(r *request) { r.lost = &lostAttempt{} }, false},
+		{"a worker failed", edgeDocument, func(r *request) { r.fallback = &protocol.AttemptResult{Status: 500} }, false},
+		{"a first attempt is under way", edgeDocument, func(r *request) { r.isHedge = true }, false},
+		{"an answer was lost, and it may run again", strings.Replace(safe, `"/a|b/"`, `"/ab/"`, 1), func(r *request) { r.lost = &lostAttempt{} }, true},
+	} {
+		x := proxyWith(t, safe, 4)
+		req := matchRequestLine(t, x, "h", "/loans/7")
+		req.deadline, req.result = time.Now().Add(time.Minute), protocol.AttemptResult{Outcome: protocol.Refused, ConfigMismatch: true, ConfigVersion: 5}
+		c.change(req)
+		newer, _, err := rules.Compile(5, []byte(c.newRules))
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.rules.Store(newer)
+		if restarts := x.evaluate(t.Context(), req) == restart; restarts != c.restarts {
+			t.Errorf("%s: sent again: %v", c.name, restarts)
+		}
+	}
+}
