--- a/internal/proxy/departed.go
+++ b/internal/proxy/departed.go
@@ -19,6 +19,9 @@
 func (x *Proxy) DepartedInUse() []string {
 	var inUse []string
 	departed := x.replica.Map().DepartedWorkers()
+	if len(departed) == 0 {
+		return nil
+	}
 	for _, entry := range x.replica.Map().Live(func(e ormap.Entry) bool { return departed[e.Worker] }) {
 		inUse = append(inUse, entry.Worker)
 	}
