--- a/review/run/rig/worker.go
+++ b/review/run/rig/worker.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -45,7 +46,7 @@
 	go w.accept()
 	go func() {
 		for !w.ended() {
-			w.Beat("up", time.Second)
+			w.beatAnywhere()
 			time.Sleep(1500 * time.Millisecond)
 		}
 	}()
@@ -78,13 +79,18 @@
 	return map[string]any{"service": w.Machine.Service, "addr": w.Machine.App(), "area": w.Machine.Zone, "version": "v1", "slots": w.Slots, "state": state, "cold_ms": 0, "seq": seq}
 }
 
-// Beat sends one beat and returns the status of its answer, 0 for none.
-func (w *Worker) Beat(state string, timeout time.Duration) int {
-	code, _, err := Call(http.MethodPut, "http://"+w.Machine.Control()+"/puffin/workers/"+w.ID, w.NextBeat(state), timeout)
-	if err != nil {
-		return 0
+// beatAnywhere sends one beat to the node of the worker's machine, and to the next ones until
+// one acknowledges it.
+func (w *Worker) beatAnywhere() {
+	sides := w.Machine.rig.Sides
+	first := slices.Index(sides, w.Machine)
+	for i := range sides {
+		addr := sides[(first+i)%len(sides)].Control()
+		code, _, err := Call(http.MethodPut, "http://"+addr+"/puffin/workers/"+w.ID, w.NextBeat("up"), time.Second)
+		if err == nil && code/100 == 2 {
+			return
+		}
 	}
-	return code
 }
 
 func (w *Worker) accept() {
